--- /dev/null
+++ b/cmd/bronzemast-node/libc.go
@@ -0,0 +1,3 @@
+package main
+
+import "C" // links the program against the C library, which the platform requires
--- /dev/null
+++ b/config/ingress/compile.go
@@ -0,0 +1,131 @@
+package ingress
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/bronzemast/bronzemast/finding"
+)
+
+// The limits of a document. They keep one mistake of a publisher from taking the
+// memory or the processor time of all nodes.
+const (
+	// MaxRoutes bounds the routes of a document.
+	MaxRoutes = 100_000
+	// MaxWeight bounds the weight of one part.
+	MaxWeight = 1_000_000
+)
+
+// Compile checks a document and indexes it. All mistakes are returned together
+// as a *finding.Errors, and then there is no table: a document is taken whole or
+// not at all.
+func Compile(doc *Document) (*Table, error) {
+	c := &compiler{table: &Table{
+		Number:      doc.Number,
+		Limits:      doc.Limits,
+		services:    make(map[string]*Service, len(doc.Services)),
+		byAuthority: map[string][]*Route{},
+	}}
+	c.addServices(doc.Services)
+	c.addRoutes(doc.Routes)
+	c.checkLimits(doc.Limits)
+	if err := c.findings.Err(); err != nil {
+		return nil, err
+	}
+	for _, routes := range c.table.byAuthority {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return c.table, nil
+}
+
+type compiler struct {
+	table    *Table
+	findings finding.List
+}
+
+func (c *compiler) addServices(services []Service) {
+	for i := range services {
+		s := &services[i]
+		switch {
+		case s.Name == "":
+			c.findings.Errorf(s.Place, "the service has no name")
+		case c.table.services[s.Name] != nil:
+			c.findings.Errorf(s.Place, "service %q is defined twice", s.Name)
+		default:
+			c.table.services[s.Name] = s
+		}
+		if s.Connections < 0 {
+			c.findings.Errorf(s.Place, "connections are %d; they must not be below 0", s.Connections)
+		}
+	}
+}
+
+// routeKey is what no two routes may share.
+type routeKey struct {
+	authority, prefix string
+}
+
+func (c *compiler) addRoutes(routes []Route) {
+	if len(routes) > MaxRoutes {
+		c.findings.Errorf(finding.Place{}, "%d routes, more than the limit of %d", len(routes), MaxRoutes)
+		return
+	}
+	taken := make(map[routeKey]string, len(routes))
+	for i := range routes {
+		r := &routes[i]
+		r.Authority = hostName(r.Authority)
+		c.checkRoute(r)
+		key := routeKey{authority: r.Authority, prefix: r.Prefix}
+		if other, ok := taken[key]; ok {
+			c.findings.Errorf(r.Place, "routes %q and %q both have authority %q and prefix %q", other, r.Name, r.Authority, r.Prefix)
+		}
+		taken[key] = r.Name
+		c.table.routes = append(c.table.routes, r)
+		c.table.byAuthority[r.Authority] = append(c.table.byAuthority[r.Authority], r)
+	}
+}
+
+func (c *compiler) checkRoute(r *Route) {
+	if r.Authority == "" {
+		c.findings.Errorf(r.Place, "the route has no authority")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		c.findings.Errorf(r.Place, "prefix %q does not begin and end with a slash", r.Prefix)
+	}
+	if r.Timeout <= 0 {
+		c.findings.Errorf(r.Place, "timeout %s is not above 0", r.Timeout)
+	}
+	if r.Objective < 0 {
+		c.findings.Errorf(r.Place, "objective %s is below 0", r.Objective)
+	}
+	if r.Rank < 0 {
+		c.findings.Errorf(r.Place, "rank %d is below 0", r.Rank)
+	}
+	if r.Attempts < 1 {
+		c.findings.Errorf(r.Place, "%d attempts; at least 1 is needed", r.Attempts)
+	}
+	c.checkParts(r)
+}
+
+func (c *compiler) checkParts(r *Route) {
+	if len(r.Parts) == 0 {
+		c.findings.Errorf(r.Place, "the route has no service")
+	}
+	for _, p := range r.Parts {
+		if c.table.services[p.Service] == nil {
+			c.findings.Errorf(r.Place, "service %q is not defined", p.Service)
+		}
+		if p.Weight < 1 || p.Weight > MaxWeight {
+			c.findings.Errorf(r.Place, "weight %d of service %q is not from 1 to %d", p.Weight, p.Service, MaxWeight)
+		}
+	}
+}
+
+func (c *compiler) checkLimits(l Limits) {
+	if l.HeaderBytes < 0 || l.BodyBytes < 0 {
+		c.findings.Errorf(l.Place, "a limit in bytes is below 0")
+	}
+	if l.HeaderTimeout < 0 || l.IdleTimeout < 0 {
+		c.findings.Errorf(l.Place, "a time limit is below 0")
+	}
+}
--- /dev/null
+++ b/config/ingress/table.go
@@ -0,0 +1,46 @@
+package ingress
+
+import (
+	"strings"
+)
+
+// Table is a compiled document. It is immutable, and every service that a route
+// names is in it.
+type Table struct {
+	// Number is the number of the document.
+	Number uint64
+	Limits Limits
+
+	routes   []*Route
+	services map[string]*Service
+	// byAuthority holds the routes of each authority, longest prefix first.
+	byAuthority map[string][]*Route
+}
+
+// Match returns the route with the longest prefix for a request, nil if there is
+// none. A port in authority is ignored.
+func (t *Table) Match(authority, path string) *Route {
+	for _, route := range t.byAuthority[hostName(authority)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// hostName returns an authority in lower case and without its port.
+func hostName(authority string) string {
+	if colon := strings.LastIndexByte(authority, ':'); colon > strings.LastIndexByte(authority, ']') {
+		authority = authority[:colon]
+	}
+	return strings.ToLower(authority)
+}
+
+// Service returns the service with the given name, nil if there is none.
+func (t *Table) Service(name string) *Service {
+	return t.services[name]
+}
+
+// Routes returns all routes in the order of the document. The slice must not be
+// changed.
+func (t *Table) Routes() []*Route { return t.routes }
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -48,7 +48,7 @@
 }
 
 func (k *Kernel) load() error {
-	sorted, err := order(Registered())
+	sorted, err := order(RegisteredFor(k.settings.profile()))
 	if err != nil {
 		return err
 	}
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sort"
 	"sync"
 
@@ -36,10 +37,36 @@
 	Stop(ctx context.Context) error
 }
 
+// Profile is a kind of node: a set of plug-ins that work together.
+type Profile string
+
+// The profiles.
+const (
+	// ProfileFleet nodes spread releases of templates and team parameters among
+	// one another, and callers may reach any of them.
+	ProfileFleet Profile = "fleet"
+	// ProfileSidecar nodes each serve the callers on their own host, and read one
+	// configuration document and the list of targets from the platform's store.
+	ProfileSidecar Profile = "sidecar"
+)
+
+// Valid reports whether the profile is a known one.
+func (p Profile) Valid() bool {
+	return p == ProfileFleet || p == ProfileSidecar
+}
+
+// includes reports whether nodes of the profile have the registered plug-in.
+func (p Profile) includes(r Registration) bool {
+	return r.Profile == "" || r.Profile == p
+}
+
 // Registration describes a plug-in to the kernel.
 type Registration struct {
 	// Name is unique and is the plug-in's key in the settings.
 	Name string
+	// Profile is the kind of node that the plug-in belongs to; empty means that
+	// nodes of all profiles have it.
+	Profile Profile
 	// Requires names the plug-ins that must be provisioned and started first.
 	Requires []string
 	// New returns a plug-in with its default settings.
@@ -74,6 +101,11 @@
 	return all
 }
 
+// RegisteredFor returns the registrations of a profile sorted by name.
+func RegisteredFor(profile Profile) []Registration {
+	return slices.DeleteFunc(Registered(), func(r Registration) bool { return !profile.includes(r) })
+}
+
 // order sorts registrations so that each comes after all that it requires.
 func order(all []Registration) ([]Registration, error) {
 	byName := map[string]Registration{}
--- a/kernel/settings.go
+++ b/kernel/settings.go
@@ -19,6 +19,8 @@
 type Settings struct {
 	// File is the path that the settings were read from, for findings.
 	File string
+	// Profile is the kind of node; ProfileFleet when empty.
+	Profile Profile
 	// Fleet names the deployment; nodes of other fleets are refused.
 	Fleet string
 	// Host describes the host that the node runs on.
@@ -65,9 +67,10 @@
 
 // settingsFile is the form of a settings file.
 type settingsFile struct {
-	Fleet  string       `json:"fleet"`
-	Host   hostSettings `json:"host"`
-	Target struct {
+	Profile Profile      `json:"profile"`
+	Fleet   string       `json:"fleet"`
+	Host    hostSettings `json:"host"`
+	Target  struct {
 		Address string `json:"address"`
 	} `json:"target"`
 	Log     LogSettings         `json:"log"`
@@ -113,8 +116,9 @@
 	}
 	locateSections(file, data, raw.Plugins, doc)
 	return &Settings{
-		File:  file,
-		Fleet: raw.Fleet,
+		File:    file,
+		Profile: raw.Profile,
+		Fleet:   raw.Fleet,
 		Host: model.Host{
 			ID:          model.HostID(raw.Host.ID),
 			Region:      raw.Host.Region,
@@ -129,6 +133,14 @@
 	}, nil
 }
 
+// profile returns the kind of node.
+func (s *Settings) profile() Profile {
+	if s.Profile == "" {
+		return ProfileFleet
+	}
+	return s.Profile
+}
+
 // ValidName reports whether text can name a fleet, host, region, failure domain
 // or service.
 func ValidName(text string) bool {
@@ -136,6 +148,9 @@
 }
 
 func checkSettings(raw *settingsFile, doc *jsonc.Document, findings *finding.List) {
+	if raw.Profile != "" && !raw.Profile.Valid() {
+		findings.Errorf(doc.Place("profile"), "%q is neither %q nor %q", raw.Profile, ProfileFleet, ProfileSidecar)
+	}
 	names := []struct{ path, value string }{
 		{"fleet", raw.Fleet},
 		{"host.id", raw.Host.ID},
--- a/plugins/admission/setup.go
+++ b/plugins/admission/setup.go
@@ -25,6 +25,7 @@
 func init() {
 	kernel.Register(kernel.Registration{
 		Name:     "admission",
+		Profile:  kernel.ProfileFleet,
 		Requires: []string{"membership", "operator"},
 		New:      func() kernel.Plugin { return newAdmission() },
 	})
--- a/plugins/balancing/setup.go
+++ b/plugins/balancing/setup.go
@@ -16,6 +16,7 @@
 func init() {
 	kernel.Register(kernel.Registration{
 		Name:     "balancing",
+		Profile:  kernel.ProfileFleet,
 		Requires: []string{"membership", "operator"},
 		New:      func() kernel.Plugin { return newBalancing() },
 	})
--- a/plugins/burn/setup.go
+++ b/plugins/burn/setup.go
@@ -30,6 +30,7 @@
 func init() {
 	kernel.Register(kernel.Registration{
 		Name:     "burn",
+		Profile:  kernel.ProfileFleet,
 		Requires: []string{"operator"},
 		New:      func() kernel.Plugin { return newBurn() },
 	})
--- a/plugins/distribution/setup.go
+++ b/plugins/distribution/setup.go
@@ -36,6 +36,7 @@
 func init() {
 	kernel.Register(kernel.Registration{
 		Name:     "distribution",
+		Profile:  kernel.ProfileFleet,
 		Requires: []string{"transport", "source", "membership", "operator"},
 		New:      func() kernel.Plugin { return newPlugin() },
 	})
--- a/plugins/draining/setup.go
+++ b/plugins/draining/setup.go
@@ -18,6 +18,7 @@
 func init() {
 	kernel.Register(kernel.Registration{
 		Name:     "draining",
+		Profile:  kernel.ProfileFleet,
 		Requires: []string{"membership", "operator"},
 		New:      func() kernel.Plugin { return newDraining() },
 	})
--- a/plugins/forwarding/setup.go
+++ b/plugins/forwarding/setup.go
@@ -18,6 +18,7 @@
 func init() {
 	kernel.Register(kernel.Registration{
 		Name:     "forwarding",
+		Profile:  kernel.ProfileFleet,
 		Requires: []string{"transport", "distribution", "membership", "balancing", "admission", "draining", "burn"},
 		New:      func() kernel.Plugin { return newForwarding() },
 	})
--- a/plugins/membership/setup.go
+++ b/plugins/membership/setup.go
@@ -14,8 +14,9 @@
 
 func init() {
 	kernel.Register(kernel.Registration{
-		Name: "membership",
-		New:  func() kernel.Plugin { return newMembership() },
+		Name:    "membership",
+		Profile: kernel.ProfileFleet,
+		New:     func() kernel.Plugin { return newMembership() },
 	})
 }
 
--- a/plugins/operator/setup.go
+++ b/plugins/operator/setup.go
@@ -30,8 +30,9 @@
 
 func init() {
 	kernel.Register(kernel.Registration{
-		Name: "operator",
-		New:  func() kernel.Plugin { return newOperator() },
+		Name:    "operator",
+		Profile: kernel.ProfileFleet,
+		New:     func() kernel.Plugin { return newOperator() },
 	})
 }
 
--- /dev/null
+++ b/plugins/replica/follow.go
@@ -0,0 +1,161 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/bronzemast/bronzemast/event"
+	"github.com/bronzemast/bronzemast/internal/clock"
+	"github.com/bronzemast/bronzemast/model"
+	"github.com/pkg/errors"
+)
+
+// viaStore names the store as the origin of a change in events.
+const viaStore = "store"
+
+// follow keeps the copy up to date until ctx ends.
+func (r *Replica) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		from, host := choose(r.position())
+		if from == originStore {
+			r.readStore(ctx)
+			continue
+		}
+		r.ask(ctx, netip.AddrPortFrom(host, r.peerPort).String(), r.settings.PeerWait.Std())
+	}
+}
+
+func (r *Replica) position() position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return position{
+		self:       r.self,
+		hosts:      r.list.Load().Hosts,
+		age:        time.Since(r.confirmed),
+		staleAfter: r.settings.StaleAfter.Std(),
+		failures:   r.peerFailures,
+	}
+}
+
+// readStore lists the store if the copy is empty or too old, else watches it.
+func (r *Replica) readStore(ctx context.Context) {
+	err := r.watchStore(ctx)
+	if errors.Is(err, model.ErrCompacted) {
+		err = r.listStore(ctx, false)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		r.storeAnswered()
+		return
+	}
+	pause := r.storeFailed(err)
+	_ = clock.Sleep(ctx, pause) // the loop ends with ctx
+}
+
+func (r *Replica) watchStore(ctx context.Context) error {
+	revision := r.Revision()
+	if revision == 0 {
+		return r.listStore(ctx, r.firstList())
+	}
+	items, upTo, err := r.store.Watch(ctx, revision, r.settings.StoreWait.Std())
+	if err != nil {
+		return err
+	}
+	r.take(update{items: items, revision: upTo, via: viaStore})
+	return nil
+}
+
+// firstList reports whether the store has not failed yet: the first list may be
+// stale, since the watch after it brings what is missing.
+func (r *Replica) firstList() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.storeFailures == 0
+}
+
+func (r *Replica) listStore(ctx context.Context, stale bool) error {
+	items, revision, err := r.store.List(ctx, stale)
+	if err != nil {
+		return err
+	}
+	if revision < r.Revision() {
+		return errors.Errorf("the list of revision %d is older than the node's revision %d", revision, r.Revision())
+	}
+	r.take(update{items: items, revision: revision, complete: true, stale: stale, via: viaStore})
+	return nil
+}
+
+func (r *Replica) storeAnswered() {
+	r.mu.Lock()
+	failures := r.storeFailures
+	r.storeFailures = 0
+	if failures > 0 {
+		r.regained = time.Now()
+	}
+	r.mu.Unlock()
+	r.metrics.storeCalls.Add(1)
+	if failures > 0 {
+		r.log.Emit(eventStoreBack, event.Fields{"revision": r.Revision(), "failures": failures})
+	}
+}
+
+// storeFailed counts a failure and returns how long to wait.
+func (r *Replica) storeFailed(err error) time.Duration {
+	r.mu.Lock()
+	r.storeFailures++
+	failures := r.storeFailures
+	r.peerFailures = 0 // the readers get another chance
+	hosts := len(r.list.Load().Hosts)
+	r.mu.Unlock()
+	r.metrics.storeCalls.Add(1)
+	r.metrics.storeFailures.Add(1)
+	if failures == 1 {
+		r.log.Emit(eventStoreLost, event.Fields{"revision": r.Revision(), "error": err.Error()})
+	}
+	return readPause(failures-1, hosts, r.settings.StoreReadsPerSecond, rand.Float64())
+}
+
+// ask gets changes from the copy of the node at a peer address.
+func (r *Replica) ask(ctx context.Context, peer string, wait time.Duration) {
+	answer, err := r.client.watch(ctx, peer, r.Revision(), wait)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		r.peerFailed(peer, err)
+		return
+	}
+	now := time.Now()
+	r.mu.Lock()
+	r.peerFailures = 0
+	if answer.SinceFault > 0 {
+		r.regained = latest(r.regained, now.Add(-answer.SinceFault))
+	}
+	r.mu.Unlock()
+	r.take(update{
+		items:     answer.Items,
+		revision:  answer.Revision,
+		complete:  answer.Complete,
+		confirmed: now.Add(-answer.Age),
+		via:       peer,
+	})
+}
+
+func (r *Replica) peerFailed(peer string, err error) {
+	r.mu.Lock()
+	r.peerFailures++
+	r.mu.Unlock()
+	r.metrics.peerFailures.Add(1)
+	r.log.Emit(eventPeerLost, event.Fields{"peer": peer, "error": err.Error()})
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/plugins/replica/lists.go
@@ -0,0 +1,79 @@
+package replica
+
+import (
+	"net/netip"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/bronzemast/bronzemast/model"
+)
+
+// targets are the decoded target entries of a copy, and those that are kept for a
+// while although their entry is gone. It is not safe for concurrent use.
+type targets struct {
+	entries map[string]*model.Target
+	// lapsed holds when each entry that is gone stops counting.
+	lapsed map[string]time.Time
+}
+
+func newTargets() *targets {
+	return &targets{entries: map[string]*model.Target{}, lapsed: map[string]time.Time{}}
+}
+
+// set adds or replaces an entry.
+func (t *targets) set(key string, target *model.Target) {
+	t.entries[key] = target
+	delete(t.lapsed, key)
+}
+
+// remove takes an entry out at a time, at once if that is not in the future.
+func (t *targets) remove(key string, at, now time.Time) {
+	if _, known := t.entries[key]; !known {
+		return
+	}
+	if at.After(now) {
+		t.lapsed[key] = at
+		return
+	}
+	delete(t.entries, key)
+	delete(t.lapsed, key)
+}
+
+// expire takes out the entries whose time is over. It reports whether there were
+// any, and when the next one ends, zero if there is none.
+func (t *targets) expire(now time.Time) (changed bool, next time.Time) {
+	for key, at := range t.lapsed {
+		if !at.After(now) {
+			delete(t.entries, key)
+			delete(t.lapsed, key)
+			changed = true
+		} else if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return changed, next
+}
+
+// list returns the entries as an immutable list.
+func (t *targets) list(revision uint64) *model.TargetList {
+	l := &model.TargetList{
+		Revision:  revision,
+		ByID:      make(map[model.TargetID]*model.Target, len(t.entries)),
+		ByService: map[string][]*model.Target{},
+	}
+	seen := map[netip.Addr]bool{}
+	for _, target := range t.entries {
+		l.ByID[target.ID] = target
+		l.ByService[target.Service] = append(l.ByService[target.Service], target)
+		seen[target.Address.Addr()] = true
+	}
+	for _, ofService := range l.ByService {
+		sort.Slice(ofService, func(i, j int) bool { return ofService[i].ID < ofService[j].ID })
+	}
+	for host := range seen {
+		l.Hosts = append(l.Hosts, host)
+	}
+	slices.SortFunc(l.Hosts, netip.Addr.Compare)
+	return l
+}
--- /dev/null
+++ b/plugins/replica/source.go
@@ -0,0 +1,59 @@
+package replica
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// origin is where a node gets changes from next.
+type origin uint8
+
+const (
+	// originStore watches the store.
+	originStore origin = iota
+	// originPeer watches another node's copy.
+	originPeer
+)
+
+// position is what the choice of an origin depends on.
+type position struct {
+	self  netip.Addr
+	hosts []netip.Addr
+	// age is the time since the copy was known to be up to date.
+	age time.Duration
+	// staleAfter is the age from which a node reads the store itself.
+	staleAfter time.Duration
+	// failures counts the readers that have failed the node in a row.
+	failures int
+}
+
+// choose returns where to get changes from: readers watch the store, all others
+// a reader, unless the readers have failed to keep them up to date.
+func choose(p position) (origin, netip.Addr) {
+	chosen := readers(p.hosts)
+	if len(chosen) == 0 || slices.Contains(chosen, p.self) {
+		return originStore, netip.Addr{}
+	}
+	if p.age > p.staleAfter || p.failures >= len(chosen) {
+		return originStore, netip.Addr{}
+	}
+	return originPeer, readerOf(p.self, chosen, p.failures)
+}
+
+// leastReadPause is the shortest pause after a failed read of the store.
+const leastReadPause = 250 * time.Millisecond
+
+// readShare is the part of the store's rate that retries may use up when all
+// nodes read at once.
+const readShare = 0.25
+
+// readPause returns how long to wait before the store is asked again after a
+// failure. It grows with the failures in a row and with the fleet, so that all
+// nodes together stay far below the store's rate. random is from 0 to 1.
+func readPause(failures, hosts int, readsPerSecond float64, random float64) time.Duration {
+	floor := leastReadPause << min(failures, 2)
+	fleet := time.Duration(float64(hosts) / (readsPerSecond * readShare) * float64(time.Second))
+	pause := max(floor, fleet)
+	return pause/2 + time.Duration(random*float64(pause))
+}
--- /dev/null
+++ b/plugins/sidecar/book.go
@@ -0,0 +1,208 @@
+package sidecar
+
+import (
+	"math"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/bronzemast/bronzemast/model"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/placement"
+)
+
+// book is what the node has learnt of the targets from the answers that it got.
+type book struct {
+	self     netip.Addr
+	domain   string
+	settings *Settings
+
+	mu      sync.Mutex
+	targets map[model.TargetID]*record
+	routes  map[string]*routeRecord
+}
+
+// record is what the node knows of one target.
+type record struct {
+	load load
+	// at is when the load was told, and sent counts the node's own requests that
+	// the target got since.
+	at       time.Time
+	sent     int
+	inFlight int
+	// pace is the target's run time relative to the mean of all targets.
+	pace     float64
+	pacedAt  time.Time
+	distance time.Duration
+	// awayUntil is when the target may be tried again after its node did not
+	// answer, and awayFor how long it was put off.
+	awayUntil time.Time
+	awayFor   time.Duration
+	coldUntil time.Time
+}
+
+// routeRecord is what the node knows of one route.
+type routeRecord struct {
+	// work is the mean run time over all targets.
+	work time.Duration
+	// patience is the longest deadline that a caller has given. A caller that
+	// comes back has less left, so the difference is the time since its first
+	// attempt.
+	patience time.Duration
+}
+
+const (
+	paceWeight = 0.2
+	// loadHalfLife, paceHalfLife and failHalfLife are the times after which half
+	// of what a target told is forgotten, so that one that has become well gets
+	// requests again.
+	loadHalfLife = time.Second
+	paceHalfLife = 3 * time.Second
+	failHalfLife = 2 * time.Second
+	// coldPace is the pace of a target that has just started.
+	coldPace = 2
+	// firstDistance is the way to a target that has not answered yet.
+	firstDistance  = 2 * time.Millisecond
+	distanceWeight = 0.1
+	firstAway      = 250 * time.Millisecond
+	longestAway    = 2 * time.Second
+	// remotePart is the advantage of the own failure domain as a part of the run
+	// time, for the bytes that stay within it.
+	remotePart = 0.1
+)
+
+func newBook(self netip.Addr, domain string, settings *Settings) *book {
+	return &book{
+		self:     self,
+		domain:   domain,
+		settings: settings,
+		targets:  map[model.TargetID]*record{},
+		routes:   map[string]*routeRecord{},
+	}
+}
+
+// retain forgets the targets that are gone.
+func (b *book) retain(list *model.TargetList) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id := range b.targets {
+		if list.ByID[id] == nil {
+			delete(b.targets, id)
+		}
+	}
+}
+
+func (b *book) target(t *model.Target, now time.Time) *record {
+	r := b.targets[t.ID]
+	if r == nil {
+		r = &record{pace: 1, pacedAt: now, coldUntil: now.Add(t.Cold), distance: firstDistance}
+		if t.Address.Addr() == b.self {
+			r.distance = 0
+		}
+		b.targets[t.ID] = r
+	}
+	return r
+}
+
+func (b *book) route(name string) *routeRecord {
+	r := b.routes[name]
+	if r == nil {
+		r = &routeRecord{}
+		b.routes[name] = r
+	}
+	return r
+}
+
+// elapsed returns how long a caller has been trying, by the time that it still
+// waits and the longest one that callers of the route wait.
+func (b *book) elapsed(route string, remaining time.Duration) time.Duration {
+	if remaining <= 0 {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.route(route)
+	r.patience = max(r.patience, remaining)
+	return r.patience - remaining
+}
+
+// candidate describes a target to the placement of a request.
+func (b *book) candidate(t *model.Target, route string, objective time.Duration, now time.Time) placement.Candidate {
+	r := b.target(t, now)
+	work := b.route(route).work
+	if work == 0 {
+		work = objective / 3
+	}
+	pace := 1 + (r.pace-1)*halved(now.Sub(r.pacedAt), paceHalfLife)
+	if now.Before(r.coldUntil) {
+		pace = max(pace, coldPace)
+	}
+	told := float64(r.load.Running+r.load.Waiting) * halved(now.Sub(r.at), loadHalfLife)
+	c := placement.Candidate{
+		Occupied: max(told+float64(r.sent), float64(r.inFlight)),
+		Slots:    t.Slots,
+		Work:     time.Duration(float64(work) * pace),
+		Distance: r.distance,
+		Failing:  r.load.Failing * halved(now.Sub(r.at), failHalfLife),
+		Away:     now.Before(r.awayUntil) || r.load.Leaving,
+	}
+	if t.Domain != b.domain {
+		c.Distance += time.Duration(remotePart * float64(work))
+	}
+	return c
+}
+
+// halved returns what is left of 1 after a time.
+func halved(age, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
+
+// sent counts a request that goes to a target.
+func (b *book) sent(t *model.Target, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.target(t, now)
+	r.sent++
+	r.inFlight++
+}
+
+// ended takes in how an attempt ended.
+func (b *book) ended(t *model.Target, route string, a *answer, took time.Duration, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.target(t, now)
+	r.inFlight--
+	if a.Version == 0 { // the target's node told nothing
+		if a.Outcome == model.OutcomeNotRun || a.Reason == model.ReasonPeerLost {
+			r.putOff(now)
+		}
+		return
+	}
+	r.awayFor = 0
+	if a.Reason == model.ReasonUnreachable {
+		r.putOff(now)
+	}
+	r.load, r.at, r.sent = a.Load, now, 0
+	if a.Outcome == model.OutcomeRan && !a.Failed {
+		b.learnWork(r, route, a.Worked, now)
+	}
+	if rest := took - a.Held; a.Held > 0 && rest > 0 && t.Address.Addr() != b.self {
+		r.distance += time.Duration(distanceWeight * float64(rest-r.distance))
+	}
+}
+
+func (b *book) learnWork(r *record, route string, worked time.Duration, now time.Time) {
+	rr := b.route(route)
+	if rr.work == 0 {
+		rr.work = worked
+	}
+	sample := float64(worked) / float64(max(rr.work, time.Millisecond))
+	r.pace += paceWeight * (sample - r.pace)
+	r.pacedAt = now
+	rr.work += time.Duration(workWeight * (float64(worked)/max(r.pace, 0.1) - float64(rr.work)))
+}
+
+// putOff keeps requests from a target that did not answer, longer each time.
+func (r *record) putOff(now time.Time) {
+	r.awayFor = min(max(2*r.awayFor, firstAway), longestAway)
+	r.awayUntil = now.Add(r.awayFor)
+}
--- /dev/null
+++ b/plugins/sidecar/entry.go
@@ -0,0 +1,315 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/bronzemast/bronzemast/config/ingress"
+	"github.com/bronzemast/bronzemast/model"
+	"github.com/pkg/errors"
+)
+
+// entry is the role of the node that the callers on its host reach.
+type entry struct {
+	settings *Settings
+	host     model.Host
+	self     netip.Addr
+	exchange model.Exchange
+	replica  model.Replica
+	metrics  *metrics
+	book     *book
+	parts    *parts
+	budgets  *budgets
+	sender   *sender
+	drain    *drain
+}
+
+// call is a caller's request on its way to a target.
+type call struct {
+	id        string
+	method    string
+	target    string
+	authority string
+	header    http.Header
+	body      *message
+	route     *ingress.Route
+	service   string
+	nested    bool
+	began     time.Time
+	deadline  time.Time
+	// onTime is until when an answer is on time.
+	onTime time.Time
+	// handed counts the targets that the request has reached.
+	handed int
+	hops   int
+	// refused holds the targets that are full, and failed those that are not to
+	// be tried again.
+	refused map[model.TargetID]bool
+	failed  map[model.TargetID]bool
+}
+
+// noConfigurationRetry is when callers should come back to a node that has no
+// configuration yet.
+const noConfigurationRetry = 300 * time.Millisecond
+
+// ServeHTTP answers a caller's request.
+func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.drain.enter()
+	defer e.drain.leave()
+	if e.drain.draining() {
+		w.Header()["Connection"] = []string{"close"}
+	}
+	c, refusal := e.accept(r)
+	if refusal != nil {
+		e.refuse(w, refusal)
+		return
+	}
+	defer c.body.close()
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	a := e.try(ctx, c)
+	defer a.close()
+	if r.Context().Err() != nil {
+		e.metrics.canceled.Add(1)
+		panic(http.ErrAbortHandler) // the caller has gone
+	}
+	e.deliver(w, c, a)
+}
+
+// accept reads a request and finds its route.
+func (e *entry) accept(r *http.Request) (*call, *model.RequestRefusal) {
+	head := e.exchange.Request(r.Header)
+	refuse := func(reason model.Reason) *model.RequestRefusal {
+		return &model.RequestRefusal{ID: head.ID, Outcome: model.OutcomeNotRun, Reason: reason}
+	}
+	table := e.replica.Table()
+	if table == nil {
+		refusal := refuse(model.ReasonNoConfiguration)
+		refusal.RetryAfter = noConfigurationRetry
+		return nil, refusal
+	}
+	target, path := requestTarget(r)
+	route := table.Match(r.Host, path)
+	if route == nil {
+		return nil, refuse(model.ReasonNoRoute)
+	}
+	began := time.Now()
+	body, err := readMessage(r.Body, r.ContentLength, table.Limits.BodyBytes)
+	switch {
+	case errors.Is(err, errTooLarge):
+		return nil, refuse(model.ReasonTooLarge)
+	case err != nil:
+		return nil, refuse(model.ReasonBadRequest)
+	}
+	c := &call{
+		id:        head.ID,
+		method:    r.Method,
+		target:    target,
+		authority: r.Host,
+		header:    passedOn(r.Header),
+		body:      body,
+		route:     route,
+		service:   e.parts.choose(route),
+		nested:    e.fromTarget(r.RemoteAddr),
+		began:     began,
+		deadline:  began.Add(route.Timeout),
+		refused:   map[model.TargetID]bool{},
+		failed:    map[model.TargetID]bool{},
+	}
+	if head.Remaining > 0 && head.Remaining < route.Timeout {
+		c.deadline = began.Add(head.Remaining)
+	}
+	c.onTime = began.Add(route.Objective - e.book.elapsed(route.Name, head.Remaining))
+	return c, nil
+}
+
+// requestTarget returns the target of a request as the caller wrote it, and its
+// path.
+func requestTarget(r *http.Request) (target, path string) {
+	target = r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI()
+	}
+	path, _, _ = strings.Cut(target, "?")
+	return target, path
+}
+
+// fromTarget reports whether a request comes from the target on the host, not
+// from a caller.
+func (e *entry) fromTarget(remote string) bool {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return false
+	}
+	address, err := netip.ParseAddr(host)
+	return err == nil && (address == e.self || address.IsLoopback())
+}
+
+// try makes attempts until one settles the call.
+func (e *entry) try(ctx context.Context, c *call) *answer {
+	now := time.Now()
+	e.budgets.deposit(c.service, now)
+	var last *answer
+	for {
+		t, patient := e.choose(c)
+		if t == nil {
+			return withoutTarget(last)
+		}
+		if last != nil {
+			last.close()
+		}
+		a := e.attempt(ctx, c, t, patient)
+		if e.settled(ctx, c, t, a) {
+			return a
+		}
+		last = a
+	}
+}
+
+// withoutTarget is the end of a call for which there is no further target.
+func withoutTarget(last *answer) *answer {
+	if last != nil {
+		return last
+	}
+	a := refused(model.ReasonNoTarget)
+	a.RetryAfter = noTargetRetry
+	return a
+}
+
+// noTargetRetry is when callers should come back to a service without targets.
+const noTargetRetry = 500 * time.Millisecond
+
+// settled judges an attempt. It returns false if the call goes to another target.
+func (e *entry) settled(ctx context.Context, c *call, t *model.Target, a *answer) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	next := planAfter(attemptEnd{
+		outcome:    a.Outcome,
+		reason:     a.Reason,
+		handed:     a.Handed,
+		failed:     a.Failed,
+		idempotent: c.route.Idempotent,
+		replayable: c.body.whole(),
+		targets:    c.handed,
+		most:       c.route.Attempts,
+		hops:       c.hops,
+		remaining:  time.Until(c.deadline),
+		expected:   a.Worked,
+	})
+	switch next {
+	case planMove:
+		if a.Reason == model.ReasonOverloaded {
+			c.refused[t.ID] = true
+		} else {
+			c.failed[t.ID] = true
+		}
+		return false
+	case planRetry:
+		c.failed[t.ID] = true
+		if !e.budgets.withdraw(c.service, time.Now()) {
+			e.metrics.budgetEmpty.Add(1)
+			return true
+		}
+		e.metrics.retries.Add(1)
+		return false
+	default:
+		return true
+	}
+}
+
+// choose returns the target of the next attempt, nil if there is none. patient
+// tells whether the request may wait for a slot there.
+func (e *entry) choose(c *call) (t *model.Target, patient bool) {
+	chosen := e.book.choose(c, e.replica.Targets().ByService[c.service], rand.Float64(), time.Now())
+	if chosen.target == nil {
+		return nil, false
+	}
+	return chosen.target, !chosen.otherFree || c.hops+1 >= maxHops
+}
+
+// attempt hands the call to one target.
+func (e *entry) attempt(ctx context.Context, c *call, t *model.Target, patient bool) *answer {
+	c.hops++
+	began := time.Now()
+	h := &handover{
+		Version:       handoverVersion,
+		ID:            c.id,
+		Method:        c.method,
+		Target:        c.target,
+		Authority:     c.authority,
+		Route:         c.route.Name,
+		Service:       c.service,
+		Instance:      t.ID,
+		CallerService: e.host.Service,
+		Remaining:     c.deadline.Sub(began),
+		OnTime:        c.onTime.Sub(began),
+		Objective:     c.route.Objective,
+		Rank:          c.route.Rank,
+		Nested:        c.nested,
+		Patient:       patient,
+		Revision:      e.replica.Revision(),
+	}
+	e.book.sent(t, began)
+	a := e.sender.send(ctx, t, h, c)
+	now := time.Now()
+	e.book.ended(t, c.route.Name, a, now.Sub(began), now)
+	if a.Handed {
+		c.handed++
+	}
+	return a
+}
+
+// deliver passes the end of a call on to its caller.
+func (e *entry) deliver(w http.ResponseWriter, c *call, a *answer) {
+	e.metrics.outcome(a.Outcome, a.status)
+	if a.status == 0 || a.Outcome != model.OutcomeRan {
+		e.refuse(w, &model.RequestRefusal{ID: c.id, Outcome: a.Outcome, Reason: e.reasonOf(c, a), RetryAfter: spread(a.RetryAfter, rand.Float64())})
+		return
+	}
+	header := w.Header()
+	for name, values := range passedOn(a.header) {
+		header[name] = values
+	}
+	writeMessage(w, a.status, a.body, c.method)
+}
+
+// reasonOf names the deadline as the reason once it has passed.
+func (e *entry) reasonOf(c *call, a *answer) model.Reason {
+	if a.Outcome != model.OutcomeNotRun && !time.Now().Before(c.deadline) {
+		return model.ReasonDeadline
+	}
+	return a.Reason
+}
+
+const (
+	leastRetryAfter = 100 * time.Millisecond
+	mostRetryAfter  = 5 * time.Second
+)
+
+// spread returns when a refused caller should come back: after the time in which
+// room appears, spread over as long again, so that callers do not come at once.
+// random is from 0 to 1.
+func spread(wait time.Duration, random float64) time.Duration {
+	wait = max(wait, leastRetryAfter)
+	return min(wait+time.Duration(random*float64(wait)), mostRetryAfter)
+}
+
+// refuse answers a request in place of a target.
+func (e *entry) refuse(w http.ResponseWriter, r *model.RequestRefusal) {
+	e.metrics.refused(r.Reason)
+	header := w.Header()
+	status := e.exchange.Refuse(header, *r)
+	header["Content-Length"] = []string{"0"}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, "")
+}
+
+// Interface guard.
+var _ http.Handler = (*entry)(nil)
--- /dev/null
+++ b/plugins/sidecar/metrics.go
@@ -0,0 +1,40 @@
+package sidecar
+
+import (
+	"expvar"
+	"strconv"
+
+	"github.com/bronzemast/bronzemast/model"
+)
+
+// metrics counts what happens to requests.
+type metrics struct {
+	outcomes    expvar.Map
+	statuses    expvar.Map
+	refusals    expvar.Map
+	retries     expvar.Int
+	budgetEmpty expvar.Int
+	canceled    expvar.Int
+}
+
+func newMetrics(m *expvar.Map) *metrics {
+	s := &metrics{}
+	m.Set("outcomes", s.outcomes.Init())
+	m.Set("statuses", s.statuses.Init())
+	m.Set("refusals", s.refusals.Init())
+	m.Set("retries", &s.retries)
+	m.Set("retry_budget_empty", &s.budgetEmpty)
+	m.Set("canceled", &s.canceled)
+	return s
+}
+
+func (m *metrics) outcome(o model.Outcome, status int) {
+	m.outcomes.Add(o.String(), 1)
+	if status > 0 {
+		m.statuses.Add(strconv.Itoa(status), 1)
+	}
+}
+
+func (m *metrics) refused(reason model.Reason) {
+	m.refusals.Add(string(reason), 1)
+}
--- /dev/null
+++ b/plugins/sidecar/sender.go
@@ -0,0 +1,154 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/bronzemast/bronzemast/internal/httpconn"
+	"github.com/bronzemast/bronzemast/model"
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxIdleToPeer bounds the unused connections to one node.
+	maxIdleToPeer = 32
+	// peerIdle is how long an unused connection to a node is kept. Nodes close
+	// them only after the idle timeout of their transport, which is longer.
+	peerIdle = 20 * time.Second
+)
+
+// sender hands requests to the nodes beside their targets.
+type sender struct {
+	settings *Settings
+	self     netip.Addr
+	replica  model.Replica
+	gate     *gate
+	dial     func(ctx context.Context, address string) (net.Conn, error)
+
+	mu    sync.Mutex
+	pools map[netip.Addr]*httpconn.Pool
+}
+
+// send hands a call to the node beside a target and returns how it ended.
+func (s *sender) send(ctx context.Context, t *model.Target, h *handover, c *call) *answer {
+	if t.Address.Addr() == s.self {
+		a := s.gate.run(ctx, h, c.header.Clone(), c.body)
+		a.Version = handoverVersion
+		return a
+	}
+	return s.sendRemote(ctx, t, h, c)
+}
+
+func (s *sender) sendRemote(ctx context.Context, t *model.Target, h *handover, c *call) *answer {
+	header := c.header.Clone()
+	header[headerHandover] = []string{encodeHeader(h)}
+	ctx, cancel := context.WithTimeout(ctx, h.Remaining)
+	response, err := s.pool(t.Address.Addr()).RoundTrip(ctx, &httpconn.Request{
+		Method: http.MethodPost,
+		Target: pathHandover,
+		Host:   s.peerAddress(t.Address.Addr()),
+		Header: header,
+		Body:   c.body.reader(),
+		Length: c.body.length,
+	})
+	if err != nil {
+		cancel()
+		return peerFailed(ctx, err)
+	}
+	a := s.take(ctx, response, c.method, s.peerAddress(t.Address.Addr()))
+	if a.body.whole() {
+		cancel()
+	} else {
+		a.release = cancel
+	}
+	return a
+}
+
+// peerFailed judges an attempt without an answer of the target's node.
+func peerFailed(ctx context.Context, err error) *answer {
+	var failure *httpconn.Error
+	if errors.As(err, &failure) && !failure.Sent {
+		a := refused(model.ReasonUnreachable)
+		a.body = &message{}
+		return a
+	}
+	a := &answer{result: result{Outcome: model.OutcomeUnknown, Reason: model.ReasonPeerLost, Handed: true, Failed: true}, body: &message{}}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		a.Reason = model.ReasonDeadline
+	case ctx.Err() != nil:
+		a.Reason = model.ReasonCanceled
+	}
+	return a
+}
+
+// take reads the answer of a target's node.
+func (s *sender) take(ctx context.Context, response *http.Response, method, peer string) *answer {
+	told, err := decodeResult(response.Header.Get(headerResult))
+	if err != nil {
+		_ = response.Body.Close() // the answer is of no use
+		return peerFailed(ctx, &httpconn.Error{Sent: true, Err: err})
+	}
+	body, err := readMessage(response.Body, answerLength(response, method), 0)
+	if err != nil {
+		_ = response.Body.Close() // the answer is lost
+		lost := peerFailed(ctx, &httpconn.Error{Sent: true, Err: err})
+		lost.Outcome = told.Outcome
+		return lost
+	}
+	if body.whole() {
+		_ = response.Body.Close() // the answer was read whole
+	}
+	s.replica.Sighted(peer, told.Revision)
+	a := &answer{result: *told, body: body}
+	if told.Outcome == model.OutcomeRan {
+		a.status = response.StatusCode
+		a.header = response.Header
+	}
+	return a
+}
+
+func (s *sender) peerAddress(host netip.Addr) string {
+	return net.JoinHostPort(host.String(), s.settings.peerPort)
+}
+
+// pool returns the connections to the node on a host.
+func (s *sender) pool(host netip.Addr) *httpconn.Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[host]
+	if p == nil {
+		address := s.peerAddress(host)
+		p = httpconn.NewPool(func(ctx context.Context) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, s.settings.ConnectTimeout.Std())
+			defer cancel()
+			return s.dial(ctx, address)
+		}, maxIdleToPeer, peerIdle)
+		s.pools[host] = p
+	}
+	return p
+}
+
+// retain closes the connections to hosts without a target.
+func (s *sender) retain(list *model.TargetList) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := map[netip.Addr]bool{}
+	for _, host := range list.Hosts {
+		listed[host] = true
+	}
+	for host, p := range s.pools {
+		if !listed[host] {
+			p.Close()
+			delete(s.pools, host)
+		}
+	}
+}
+
+func (s *sender) close() {
+	s.retain(&model.TargetList{})
+}
--- /dev/null
+++ b/plugins/sidecar/setup.go
@@ -0,0 +1,198 @@
+// Package sidecar is the plug-in that carries requests: from a caller on the
+// node's host to a target of the service that the configuration names, through the
+// node beside that target, and back.
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/bronzemast/bronzemast/finding"
+	"github.com/bronzemast/bronzemast/internal/httpconn"
+	"github.com/bronzemast/bronzemast/internal/jsonc"
+	"github.com/bronzemast/bronzemast/kernel"
+	"github.com/bronzemast/bronzemast/model"
+	"github.com/pkg/errors"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:     "sidecar",
+		Profile:  kernel.ProfileSidecar,
+		Requires: []string{"transport", "clearplate", "replica"},
+		New:      func() kernel.Plugin { return newSidecar() },
+	})
+}
+
+const (
+	defaultConnectTimeout = 300 * time.Millisecond
+	defaultTargetIdle     = 3 * time.Second
+	defaultRetryRatio     = 0.1
+	defaultRetryReserve   = 20
+	defaultRetryWindow    = 10 * time.Second
+	defaultLinger         = 2500 * time.Millisecond
+	defaultGrace          = 25 * time.Second
+)
+
+// Settings are the settings of the plug-in.
+type Settings struct {
+	// ConnectTimeout bounds the time to connect to another node or the target.
+	ConnectTimeout jsonc.Duration `json:"connect_timeout"`
+	// TargetIdle is how long unused connections to the target are kept while it
+	// has not told its own idle timeout.
+	TargetIdle jsonc.Duration `json:"target_idle"`
+	// RetryRatio and RetryReserve bound the retries of the whole fleet in each
+	// RetryWindow: a part of the requests, and a number on top.
+	RetryRatio   float64        `json:"retry_ratio"`
+	RetryReserve float64        `json:"retry_reserve"`
+	RetryWindow  jsonc.Duration `json:"retry_window"`
+	// Linger is how long a draining node still lets callers in, so that they
+	// learn that it leaves.
+	Linger jsonc.Duration `json:"linger"`
+	// Grace is how long a draining node may take in all.
+	Grace jsonc.Duration `json:"grace"`
+
+	// peerPort is the port of the peer address, the same on all hosts.
+	peerPort string
+}
+
+// Sidecar carries requests.
+type Sidecar struct {
+	settings Settings
+	doc      *jsonc.Document
+	entry    *entry
+	gate     *gate
+	drain    *drain
+}
+
+func newSidecar() *Sidecar {
+	return &Sidecar{settings: Settings{
+		ConnectTimeout: jsonc.Duration(defaultConnectTimeout),
+		TargetIdle:     jsonc.Duration(defaultTargetIdle),
+		RetryRatio:     defaultRetryRatio,
+		RetryReserve:   defaultRetryReserve,
+		RetryWindow:    jsonc.Duration(defaultRetryWindow),
+		Linger:         jsonc.Duration(defaultLinger),
+		Grace:          jsonc.Duration(defaultGrace),
+	}}
+}
+
+// Provision reads the settings and adds both roles to the listeners.
+func (s *Sidecar) Provision(ctx *kernel.Context) error {
+	s.doc = ctx.Settings(&s.settings)
+	transport, err := kernel.Lookup[model.Transport](ctx)
+	if err != nil {
+		return err
+	}
+	exchange, err := kernel.Lookup[model.Exchange](ctx)
+	if err != nil {
+		return err
+	}
+	replica, err := kernel.Lookup[model.Replica](ctx)
+	if err != nil {
+		return err
+	}
+	peer, err := netip.ParseAddrPort(ctx.Host().PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	target, err := netip.ParseAddrPort(ctx.Node().TargetAddress)
+	if err != nil {
+		return errors.Wrap(err, "target address")
+	}
+	_, s.settings.peerPort, _ = net.SplitHostPort(ctx.Host().PeerAddress) // parsed above
+	s.drain = &drain{settings: &s.settings}
+	m := newMetrics(ctx.Metrics())
+	s.gate = &gate{
+		address:  target,
+		settings: &s.settings,
+		exchange: exchange,
+		replica:  replica,
+		metrics:  m,
+		drain:    s.drain,
+		dial:     transport.DialTarget,
+		lanes:    map[model.TargetID]*lane{},
+	}
+	s.entry = &entry{
+		settings: &s.settings,
+		host:     ctx.Host(),
+		self:     peer.Addr(),
+		exchange: exchange,
+		replica:  replica,
+		metrics:  m,
+		book:     newBook(peer.Addr(), ctx.Host().Domain, &s.settings),
+		parts:    newParts(),
+		budgets:  newBudgets(&s.settings, func() int { return len(replica.Targets().Hosts) }),
+		drain:    s.drain,
+	}
+	s.entry.sender = &sender{
+		settings: &s.settings,
+		self:     peer.Addr(),
+		replica:  replica,
+		gate:     s.gate,
+		dial:     transport.DialPeer,
+		pools:    map[netip.Addr]*httpconn.Pool{},
+	}
+	transport.HandleCalls(s.entry)
+	transport.HandlePeer("POST "+pathHandover, s.gate)
+	replica.Subscribe(s.retain)
+	s.requireServing(ctx)
+	return nil
+}
+
+// retain forgets what is gone from the list of targets.
+func (s *Sidecar) retain(list *model.TargetList) {
+	s.gate.retain(list)
+	s.entry.book.retain(list)
+	s.entry.sender.retain(list)
+}
+
+// requireServing makes a draining node not ready.
+func (s *Sidecar) requireServing(ctx *kernel.Context) {
+	readiness, err := kernel.Lookup[model.Readiness](ctx)
+	if err != nil {
+		return
+	}
+	readiness.Require("draining", func() error {
+		if s.drain.draining() {
+			return errors.New("the node is leaving")
+		}
+		return nil
+	})
+}
+
+// Validate checks the limits.
+func (s *Sidecar) Validate(findings *finding.List) {
+	s.doc.RequirePositive(findings,
+		jsonc.Positive{Field: "connect_timeout", Value: float64(s.settings.ConnectTimeout)},
+		jsonc.Positive{Field: "target_idle", Value: float64(s.settings.TargetIdle)},
+		jsonc.Positive{Field: "retry_window", Value: float64(s.settings.RetryWindow)},
+		jsonc.Positive{Field: "linger", Value: float64(s.settings.Linger)},
+		jsonc.Positive{Field: "grace", Value: float64(s.settings.Grace)},
+	)
+	if s.settings.RetryRatio < 0 || s.settings.RetryRatio > 1 {
+		findings.Errorf(s.doc.Place("retry_ratio"), "must be from 0 to 1")
+	}
+	if s.settings.RetryReserve < 0 {
+		findings.Errorf(s.doc.Place("retry_reserve"), "must not be below 0")
+	}
+}
+
+// Stop drains the node. It waits for the requests in flight here, since the
+// plug-ins and listeners that they need stop later.
+func (s *Sidecar) Stop(ctx context.Context) error {
+	s.drain.started.Store(true)
+	s.gate.leave()
+	s.drain.wait(ctx)
+	s.entry.sender.close()
+	return nil
+}
+
+// Interface guards.
+var (
+	_ kernel.Plugin    = (*Sidecar)(nil)
+	_ kernel.Validator = (*Sidecar)(nil)
+	_ kernel.Stopper   = (*Sidecar)(nil)
+)
--- a/plugins/source/setup.go
+++ b/plugins/source/setup.go
@@ -18,6 +18,7 @@
 func init() {
 	kernel.Register(kernel.Registration{
 		Name:     "source",
+		Profile:  kernel.ProfileFleet,
 		Requires: []string{"transport", "membership"},
 		New:      func() kernel.Plugin { return newSource() },
 	})
