--- a/bronzemast.go
+++ b/bronzemast.go
@@ -55,6 +55,12 @@
 	return n.Shutdown(context.WithoutCancel(ctx))
 }
 
+// Reload puts new settings in force while the node runs, all of them or none.
+// Mistakes are returned together as a *finding.Errors.
+func (n *Node) Reload(settings *kernel.Settings) error {
+	return n.kernel.Reload(settings)
+}
+
 // Shutdown finishes the calls in flight and stops the node. It returns when that
 // is done or ctx ends.
 func (n *Node) Shutdown(ctx context.Context) error {
--- a/cmd/bronzemast-node/main.go
+++ b/cmd/bronzemast-node/main.go
@@ -37,14 +37,11 @@
 }
 
 func run(opts options) error {
-	settings, err := kernel.LoadSettings(opts.Settings)
+	settings, err := opts.load()
 	if err != nil {
 		return err
 	}
-	if err := opts.override(settings); err != nil {
-		return err
-	}
-	log, err := kernel.NewEventLog(settings, os.Stderr)
+	log, err := kernel.NewEventLog(settings, os.Stdout)
 	if err != nil {
 		return errors.Wrap(err, "log settings")
 	}
@@ -54,9 +51,19 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	go (&reloader{opts: opts, node: node, log: log}).run(ctx)
 	return node.Run(ctx)
 }
 
+// load reads the settings file and puts the flags over it.
+func (o options) load() (*kernel.Settings, error) {
+	settings, err := kernel.LoadSettings(o.Settings)
+	if err != nil {
+		return nil, err
+	}
+	return settings, o.override(settings)
+}
+
 // override puts the flags over the settings of the file.
 func (o options) override(s *kernel.Settings) error {
 	if o.LogLevel != "" {
--- a/kernel/context.go
+++ b/kernel/context.go
@@ -24,11 +24,7 @@
 // dst, a pointer to a struct with json tags. Mistakes are collected by the
 // kernel and reported together with those of all plug-ins.
 func (c *Context) Settings(dst any) *jsonc.Document {
-	section := c.kernel.settings.Plugins[c.name]
-	if section == nil {
-		return jsonc.Absent(c.kernel.settings.File, "plugins."+c.name)
-	}
-	return section.decode(dst, &c.kernel.findings)
+	return c.kernel.settings.decodePlugin(c.name, dst, &c.kernel.findings)
 }
 
 // Host returns the host that the node runs on, from its settings.
--- a/model/target.go
+++ b/model/target.go
@@ -38,8 +38,14 @@
 	// ByID holds all targets, and ByService those of each service, sorted by ID.
 	ByID      map[TargetID]*Target
 	ByService map[string][]*Target
-	// Hosts holds the IP addresses of all targets' hosts, sorted, each once.
-	Hosts []netip.Addr
+	// Hosts holds the hosts of all targets, sorted by address, each once.
+	Hosts []TargetHost
+}
+
+// TargetHost is a host with a target, and so with a node.
+type TargetHost struct {
+	Address netip.Addr
+	Domain  string
 }
 
 // At returns the target that listens at address, nil if there is none. Of two
--- a/plugins/replica/follow.go
+++ b/plugins/replica/follow.go
@@ -32,6 +32,7 @@
 	defer r.mu.Unlock()
 	return position{
 		self:       r.self,
+		domain:     r.domain,
 		hosts:      r.list.Load().Hosts,
 		age:        time.Since(r.confirmed),
 		staleAfter: r.settings.StaleAfter.Std(),
--- a/plugins/replica/lists.go
+++ b/plugins/replica/lists.go
@@ -62,18 +62,18 @@
 		ByID:      make(map[model.TargetID]*model.Target, len(t.entries)),
 		ByService: map[string][]*model.Target{},
 	}
-	seen := map[netip.Addr]bool{}
+	domains := map[netip.Addr]string{}
 	for _, target := range t.entries {
 		l.ByID[target.ID] = target
 		l.ByService[target.Service] = append(l.ByService[target.Service], target)
-		seen[target.Address.Addr()] = true
+		domains[target.Address.Addr()] = target.Domain
 	}
 	for _, ofService := range l.ByService {
 		sort.Slice(ofService, func(i, j int) bool { return ofService[i].ID < ofService[j].ID })
 	}
-	for host := range seen {
-		l.Hosts = append(l.Hosts, host)
+	for address, domain := range domains {
+		l.Hosts = append(l.Hosts, model.TargetHost{Address: address, Domain: domain})
 	}
-	slices.SortFunc(l.Hosts, netip.Addr.Compare)
+	slices.SortFunc(l.Hosts, func(a, b model.TargetHost) int { return a.Address.Compare(b.Address) })
 	return l
 }
--- a/plugins/replica/rank.go
+++ b/plugins/replica/rank.go
@@ -2,27 +2,30 @@
 
 import (
 	"net/netip"
-	"slices"
 	"sort"
 
+	"github.com/bronzemast/bronzemast/model"
 	"github.com/cespare/xxhash/v2"
 )
 
-// hostsPerReader is the number of hosts that one reader of the store feeds. It
-// bounds both the readers of a large fleet and the followers of one node.
+// hostsPerReader is the number of hosts of a failure domain that one reader of the
+// store feeds. It bounds the readers of a large fleet and the followers of a node.
 const hostsPerReader = 50
 
-// leastReaders keeps the fleet fed while one reader restarts.
-const leastReaders = 2
-
-// readers returns the hosts that watch the store on behalf of all: those with the
-// highest rank, which depends on nothing but the list, so that every node names
-// the same ones and a change of the list moves few.
-func readers(hosts []netip.Addr) []netip.Addr {
-	ranked := slices.Clone(hosts)
-	sort.Slice(ranked, func(i, j int) bool { return rank(ranked[i]) > rank(ranked[j]) })
-	count := max(leastReaders, (len(hosts)+hostsPerReader-1)/hostsPerReader)
-	return ranked[:min(count, len(ranked))]
+// readers returns the hosts of each failure domain that watch the store on behalf
+// of the others there: those with the highest rank. It depends on nothing but the
+// list, so every node names the same ones and a change of the list moves few.
+func readers(hosts []model.TargetHost) map[string][]netip.Addr {
+	byDomain := map[string][]netip.Addr{}
+	for _, host := range hosts {
+		byDomain[host.Domain] = append(byDomain[host.Domain], host.Address)
+	}
+	for domain, ranked := range byDomain {
+		sort.Slice(ranked, func(i, j int) bool { return rank(ranked[i]) > rank(ranked[j]) })
+		count := (len(ranked) + hostsPerReader - 1) / hostsPerReader
+		byDomain[domain] = ranked[:count]
+	}
+	return byDomain
 }
 
 func rank(host netip.Addr) uint64 {
@@ -30,8 +33,8 @@
 	return xxhash.Sum64(bytes[:])
 }
 
-// readerOf returns the reader that a host follows, by the number of readers that
-// have failed it in a row.
+// readerOf returns the reader that a host follows: one of its failure domain, and
+// after failures in a row the next one.
 func readerOf(host netip.Addr, readers []netip.Addr, failures int) netip.Addr {
 	first := rank(host) % uint64(len(readers))
 	return readers[(int(first)+failures)%len(readers)]
--- a/plugins/replica/setup.go
+++ b/plugins/replica/setup.go
@@ -71,6 +71,7 @@
 	decoder  model.ItemDecoder
 	client   *peerClient
 	self     netip.Addr
+	domain   string
 	peerPort uint16
 
 	table    atomic.Pointer[ingress.Table]
@@ -133,6 +134,7 @@
 		return errors.Wrap(err, "peer address")
 	}
 	r.self, r.peerPort = address.Addr(), address.Port()
+	r.domain = ctx.Host().Domain
 	r.client = newPeerClient(transport.DialPeer)
 	transport.HandlePeer("GET "+pathReplica, http.HandlerFunc(r.servePeer))
 	r.requireConfiguration(ctx)
--- a/plugins/replica/source.go
+++ b/plugins/replica/source.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/bronzemast/bronzemast/model"
 )
 
 // origin is where a node gets changes from next.
@@ -18,8 +20,9 @@
 
 // position is what the choice of an origin depends on.
 type position struct {
-	self  netip.Addr
-	hosts []netip.Addr
+	self   netip.Addr
+	domain string
+	hosts  []model.TargetHost
 	// age is the time since the copy was known to be up to date.
 	age time.Duration
 	// staleAfter is the age from which a node reads the store itself.
@@ -29,9 +32,10 @@
 }
 
 // choose returns where to get changes from: readers watch the store, all others
-// a reader, unless the readers have failed to keep them up to date.
+// a reader of their failure domain, unless these have failed to keep them up to
+// date.
 func choose(p position) (origin, netip.Addr) {
-	chosen := readers(p.hosts)
+	chosen := readers(p.hosts)[p.domain]
 	if len(chosen) == 0 || slices.Contains(chosen, p.self) {
 		return originStore, netip.Addr{}
 	}
--- a/plugins/sidecar/book.go
+++ b/plugins/sidecar/book.go
@@ -12,9 +12,8 @@
 
 // book is what the node has learnt of the targets from the answers that it got.
 type book struct {
-	self     netip.Addr
-	domain   string
-	settings *Settings
+	self   netip.Addr
+	domain string
 
 	mu      sync.Mutex
 	targets map[model.TargetID]*record
@@ -63,20 +62,21 @@
 	// firstDistance is the way to a target that has not answered yet.
 	firstDistance  = 2 * time.Millisecond
 	distanceWeight = 0.1
-	firstAway      = 250 * time.Millisecond
-	longestAway    = 2 * time.Second
+	// leavingPause is how long a node that is leaving is not tried again.
+	leavingPause = time.Second
+	firstAway    = 250 * time.Millisecond
+	longestAway  = 2 * time.Second
 	// remotePart is the advantage of the own failure domain as a part of the run
 	// time, for the bytes that stay within it.
-	remotePart = 0.1
+	remotePart = 0.4
 )
 
-func newBook(self netip.Addr, domain string, settings *Settings) *book {
+func newBook(self netip.Addr, domain string) *book {
 	return &book{
-		self:     self,
-		domain:   domain,
-		settings: settings,
-		targets:  map[model.TargetID]*record{},
-		routes:   map[string]*routeRecord{},
+		self:    self,
+		domain:  domain,
+		targets: map[model.TargetID]*record{},
+		routes:  map[string]*routeRecord{},
 	}
 }
 
@@ -143,7 +143,7 @@
 		Work:     time.Duration(float64(work) * pace),
 		Distance: r.distance,
 		Failing:  r.load.Failing * halved(now.Sub(r.at), failHalfLife),
-		Away:     now.Before(r.awayUntil) || r.load.Leaving,
+		Away:     now.Before(r.awayUntil) || r.load.Leaving && now.Sub(r.at) < leavingPause,
 	}
 	if t.Domain != b.domain {
 		c.Distance += time.Duration(remotePart * float64(work))
--- a/plugins/sidecar/choice.go
+++ b/plugins/sidecar/choice.go
@@ -89,7 +89,7 @@
 
 // budgets holds the retry budget of each service.
 type budgets struct {
-	settings *Settings
+	settings *live
 	// fleet returns the number of nodes that share the reserve.
 	fleet func() int
 
@@ -97,18 +97,18 @@
 	services map[string]*retrybudget.Budget
 }
 
-func newBudgets(settings *Settings, fleet func() int) *budgets {
+func newBudgets(settings *live, fleet func() int) *budgets {
 	return &budgets{settings: settings, fleet: fleet, services: map[string]*retrybudget.Budget{}}
 }
 
 func (b *budgets) budget(service string) *retrybudget.Budget {
 	found := b.services[service]
 	if found == nil {
-		found = &retrybudget.Budget{Window: b.settings.RetryWindow.Std()}
+		found = &retrybudget.Budget{Window: b.settings.Load().RetryWindow.Std()}
 		b.services[service] = found
 	}
-	found.Ratio = b.settings.RetryRatio * budgetPart
-	found.Reserve = b.settings.RetryReserve * budgetPart / float64(max(b.fleet(), 1))
+	found.Ratio = b.settings.Load().RetryRatio * budgetPart
+	found.Reserve = b.settings.Load().RetryReserve * budgetPart / float64(max(b.fleet(), 1))
 	return found
 }
 
--- a/plugins/sidecar/drain.go
+++ b/plugins/sidecar/drain.go
@@ -3,25 +3,32 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/bronzemast/bronzemast/internal/clock"
 )
 
-// drain takes the node out of service without cutting off a request.
+// drain takes the node out of service without cutting off a request. For a while
+// it takes in requests as before, so that its callers and peers learn that it
+// leaves; then it refuses new ones and waits for those in flight.
 type drain struct {
-	settings *Settings
-	started  atomic.Bool
+	settings *live
 
 	mu       sync.Mutex
+	began    time.Time
 	inFlight int
 	// lastLeft is when a request last ended.
 	lastLeft time.Time
 }
 
-// drainPoll is how often a draining node looks whether it is done.
-const drainPoll = 50 * time.Millisecond
+const (
+	// drainPoll is how often a draining node looks whether it is done.
+	drainPoll = 20 * time.Millisecond
+	// drainQuiet is the time without requests after which a draining node is done.
+	drainQuiet = 100 * time.Millisecond
+	// exitTime is left of the grace period for the end of the process.
+	exitTime = 200 * time.Millisecond
+)
 
 func (d *drain) enter() {
 	d.mu.Lock()
@@ -36,17 +43,33 @@
 	d.lastLeft = time.Now()
 }
 
-func (d *drain) draining() bool { return d.started.Load() }
+func (d *drain) start() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.began.IsZero() {
+		d.began = time.Now()
+	}
+}
+
+// draining reports whether the node is leaving.
+func (d *drain) draining() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.began.IsZero()
+}
+
+// closed reports whether the node refuses new requests.
+func (d *drain) closed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.began.IsZero() && time.Since(d.began) >= d.settings.Load().Linger.Std()
+}
 
-// wait returns once no request is in flight and callers have had the time to
-// learn that the node leaves, or at the end of the grace period.
+// wait returns once the node refuses new requests and has none in flight, or at
+// the end of the grace period.
 func (d *drain) wait(ctx context.Context) {
-	began := time.Now()
-	limit := began.Add(d.settings.Grace.Std())
-	for time.Now().Before(limit) {
-		if time.Since(began) >= d.settings.Linger.Std() && d.idle() {
-			return
-		}
+	limit := time.Now().Add(d.settings.Load().Grace.Std() - exitTime)
+	for time.Now().Before(limit) && !(d.closed() && d.idle()) {
 		if !clock.Sleep(ctx, drainPoll) {
 			return
 		}
@@ -59,6 +82,3 @@
 	defer d.mu.Unlock()
 	return d.inFlight == 0 && time.Since(d.lastLeft) >= drainQuiet
 }
-
-// drainQuiet is the time without requests after which a draining node is idle.
-const drainQuiet = 300 * time.Millisecond
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -17,7 +17,6 @@
 
 // entry is the role of the node that the callers on its host reach.
 type entry struct {
-	settings *Settings
 	host     model.Host
 	self     netip.Addr
 	exchange model.Exchange
@@ -88,6 +87,12 @@
 	refuse := func(reason model.Reason) *model.RequestRefusal {
 		return &model.RequestRefusal{ID: head.ID, Outcome: model.OutcomeNotRun, Reason: reason}
 	}
+	nested := e.fromTarget(r.RemoteAddr)
+	if e.drain.closed() && !nested {
+		refusal := refuse(model.ReasonDraining)
+		refusal.RetryAfter = leastRetryAfter
+		return nil, refusal
+	}
 	table := e.replica.Table()
 	if table == nil {
 		refusal := refuse(model.ReasonNoConfiguration)
@@ -116,7 +121,7 @@
 		body:      body,
 		route:     route,
 		service:   e.parts.choose(route),
-		nested:    e.fromTarget(r.RemoteAddr),
+		nested:    nested,
 		began:     began,
 		deadline:  began.Add(route.Timeout),
 		refused:   map[model.TargetID]bool{},
--- a/plugins/sidecar/gate.go
+++ b/plugins/sidecar/gate.go
@@ -21,7 +21,8 @@
 // so it alone knows how many requests run there.
 type gate struct {
 	address  netip.AddrPort
-	settings *Settings
+	peerPort string
+	settings *live
 	exchange model.Exchange
 	replica  model.Replica
 	metrics  *metrics
@@ -30,8 +31,6 @@
 
 	mu    sync.Mutex
 	lanes map[model.TargetID]*lane
-	// leaving is set once the node takes no more requests for its target.
-	leaving bool
 }
 
 // answer is how an attempt ended at a target.
@@ -74,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.Remaining)
 	a := g.runIn(ctx, l, h, header, body)
 	a.Load = l.load()
-	a.Load.Leaving = g.isLeaving()
+	a.Load.Leaving = g.drain.closed()
 	if a.release == nil {
 		cancel()
 		return a
@@ -162,17 +161,17 @@
 func (g *gate) pool() *httpconn.Pool {
 	address := g.address.String()
 	dial := func(ctx context.Context) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, g.settings.ConnectTimeout.Std())
+		ctx, cancel := context.WithTimeout(ctx, g.settings.Load().ConnectTimeout.Std())
 		defer cancel()
 		return g.dial(ctx, address)
 	}
-	return httpconn.NewPool(dial, maxIdleToTarget, g.settings.TargetIdle.Std())
+	return httpconn.NewPool(dial, maxIdleToTarget, g.settings.Load().TargetIdle.Std())
 }
 
 // gone reports whether the instance leaves or has left, as the node's own list
 // says unless the sender has a later one.
 func (g *gate) gone(h *handover) bool {
-	if g.isLeaving() {
+	if g.drain.closed() {
 		return true
 	}
 	list := g.replica.Targets()
@@ -182,19 +181,6 @@
 	return g.replica.Revision() >= h.Revision
 }
 
-// leave makes the gate take no more requests; those that it has go on.
-func (g *gate) leave() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.leaving = true
-}
-
-func (g *gate) isLeaving() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.leaving
-}
-
 // retain drops the lanes of instances that are gone.
 func (g *gate) retain(list *model.TargetList) {
 	g.mu.Lock()
@@ -337,7 +323,7 @@
 		return
 	}
 	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
-		g.replica.Sighted(net.JoinHostPort(host, g.settings.peerPort), h.Revision)
+		g.replica.Sighted(net.JoinHostPort(host, g.peerPort), h.Revision)
 	}
 	body, err := readMessage(r.Body, r.ContentLength, 0)
 	if err != nil {
--- a/plugins/sidecar/sender.go
+++ b/plugins/sidecar/sender.go
@@ -23,8 +23,9 @@
 
 // sender hands requests to the nodes beside their targets.
 type sender struct {
-	settings *Settings
+	settings *live
 	self     netip.Addr
+	peerPort string
 	replica  model.Replica
 	gate     *gate
 	dial     func(ctx context.Context, address string) (net.Conn, error)
@@ -113,7 +114,7 @@
 }
 
 func (s *sender) peerAddress(host netip.Addr) string {
-	return net.JoinHostPort(host.String(), s.settings.peerPort)
+	return net.JoinHostPort(host.String(), s.peerPort)
 }
 
 // pool returns the connections to the node on a host.
@@ -124,7 +125,7 @@
 	if p == nil {
 		address := s.peerAddress(host)
 		p = httpconn.NewPool(func(ctx context.Context) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, s.settings.ConnectTimeout.Std())
+			ctx, cancel := context.WithTimeout(ctx, s.settings.Load().ConnectTimeout.Std())
 			defer cancel()
 			return s.dial(ctx, address)
 		}, maxIdleToPeer, peerIdle)
@@ -139,7 +140,7 @@
 	defer s.mu.Unlock()
 	listed := map[netip.Addr]bool{}
 	for _, host := range list.Hosts {
-		listed[host] = true
+		listed[host.Address] = true
 	}
 	for host, p := range s.pools {
 		if !listed[host] {
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -5,8 +5,9 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/bronzemast/bronzemast/finding"
@@ -32,8 +33,9 @@
 	defaultRetryRatio     = 0.1
 	defaultRetryReserve   = 20
 	defaultRetryWindow    = 10 * time.Second
-	defaultLinger         = 2500 * time.Millisecond
-	defaultGrace          = 25 * time.Second
+	// defaultLinger lasts for two readiness calls, one a second, and a little more.
+	defaultLinger = 2700 * time.Millisecond
+	defaultGrace  = 25 * time.Second
 )
 
 // Settings are the settings of the plug-in.
@@ -53,14 +55,18 @@
 	Linger jsonc.Duration `json:"linger"`
 	// Grace is how long a draining node may take in all.
 	Grace jsonc.Duration `json:"grace"`
+}
 
-	// peerPort is the port of the peer address, the same on all hosts.
-	peerPort string
+// live holds the settings in force.
+type live struct {
+	atomic.Pointer[Settings]
 }
 
 // Sidecar carries requests.
 type Sidecar struct {
+	// settings are those of the start, live those in force.
 	settings Settings
+	live     live
 	doc      *jsonc.Document
 	entry    *entry
 	gate     *gate
@@ -68,7 +74,11 @@
 }
 
 func newSidecar() *Sidecar {
-	return &Sidecar{settings: Settings{
+	return &Sidecar{settings: defaults()}
+}
+
+func defaults() Settings {
+	return Settings{
 		ConnectTimeout: jsonc.Duration(defaultConnectTimeout),
 		TargetIdle:     jsonc.Duration(defaultTargetIdle),
 		RetryRatio:     defaultRetryRatio,
@@ -76,7 +86,7 @@
 		RetryWindow:    jsonc.Duration(defaultRetryWindow),
 		Linger:         jsonc.Duration(defaultLinger),
 		Grace:          jsonc.Duration(defaultGrace),
-	}}
+	}
 }
 
 // Provision reads the settings and adds both roles to the listeners.
@@ -102,12 +112,14 @@
 	if err != nil {
 		return errors.Wrap(err, "target address")
 	}
-	_, s.settings.peerPort, _ = net.SplitHostPort(ctx.Host().PeerAddress) // parsed above
-	s.drain = &drain{settings: &s.settings}
+	s.live.Store(&s.settings)
+	peerPort := strconv.Itoa(int(peer.Port()))
+	s.drain = &drain{settings: &s.live}
 	m := newMetrics(ctx.Metrics())
 	s.gate = &gate{
 		address:  target,
-		settings: &s.settings,
+		peerPort: peerPort,
+		settings: &s.live,
 		exchange: exchange,
 		replica:  replica,
 		metrics:  m,
@@ -116,20 +128,20 @@
 		lanes:    map[model.TargetID]*lane{},
 	}
 	s.entry = &entry{
-		settings: &s.settings,
 		host:     ctx.Host(),
 		self:     peer.Addr(),
 		exchange: exchange,
 		replica:  replica,
 		metrics:  m,
-		book:     newBook(peer.Addr(), ctx.Host().Domain, &s.settings),
+		book:     newBook(peer.Addr(), ctx.Host().Domain),
 		parts:    newParts(),
-		budgets:  newBudgets(&s.settings, func() int { return len(replica.Targets().Hosts) }),
+		budgets:  newBudgets(&s.live, func() int { return len(replica.Targets().Hosts) }),
 		drain:    s.drain,
 	}
 	s.entry.sender = &sender{
-		settings: &s.settings,
+		settings: &s.live,
 		self:     peer.Addr(),
+		peerPort: peerPort,
 		replica:  replica,
 		gate:     s.gate,
 		dial:     transport.DialPeer,
@@ -163,28 +175,38 @@
 	})
 }
 
-// Validate checks the limits.
+// Validate checks the settings.
 func (s *Sidecar) Validate(findings *finding.List) {
-	s.doc.RequirePositive(findings,
-		jsonc.Positive{Field: "connect_timeout", Value: float64(s.settings.ConnectTimeout)},
-		jsonc.Positive{Field: "target_idle", Value: float64(s.settings.TargetIdle)},
-		jsonc.Positive{Field: "retry_window", Value: float64(s.settings.RetryWindow)},
-		jsonc.Positive{Field: "linger", Value: float64(s.settings.Linger)},
-		jsonc.Positive{Field: "grace", Value: float64(s.settings.Grace)},
+	s.settings.check(s.doc, findings)
+}
+
+// Reload puts changed settings in force for the requests that come.
+func (s *Sidecar) Reload(decode func(dst any) *jsonc.Document, findings *finding.List) func() {
+	next := defaults()
+	next.check(decode(&next), findings)
+	return func() { s.live.Store(&next) }
+}
+
+func (s *Settings) check(doc *jsonc.Document, findings *finding.List) {
+	doc.RequirePositive(findings,
+		jsonc.Positive{Field: "connect_timeout", Value: float64(s.ConnectTimeout)},
+		jsonc.Positive{Field: "target_idle", Value: float64(s.TargetIdle)},
+		jsonc.Positive{Field: "retry_window", Value: float64(s.RetryWindow)},
+		jsonc.Positive{Field: "linger", Value: float64(s.Linger)},
+		jsonc.Positive{Field: "grace", Value: float64(s.Grace)},
 	)
-	if s.settings.RetryRatio < 0 || s.settings.RetryRatio > 1 {
-		findings.Errorf(s.doc.Place("retry_ratio"), "must be from 0 to 1")
+	if s.RetryRatio < 0 || s.RetryRatio > 1 {
+		findings.Errorf(doc.Place("retry_ratio"), "must be from 0 to 1")
 	}
-	if s.settings.RetryReserve < 0 {
-		findings.Errorf(s.doc.Place("retry_reserve"), "must not be below 0")
+	if s.RetryReserve < 0 {
+		findings.Errorf(doc.Place("retry_reserve"), "must not be below 0")
 	}
 }
 
 // Stop drains the node. It waits for the requests in flight here, since the
 // plug-ins and listeners that they need stop later.
 func (s *Sidecar) Stop(ctx context.Context) error {
-	s.drain.started.Store(true)
-	s.gate.leave()
+	s.drain.start()
 	s.drain.wait(ctx)
 	s.entry.sender.close()
 	return nil
@@ -195,4 +217,5 @@
 	_ kernel.Plugin    = (*Sidecar)(nil)
 	_ kernel.Validator = (*Sidecar)(nil)
 	_ kernel.Stopper   = (*Sidecar)(nil)
+	_ kernel.Reloader  = (*Sidecar)(nil)
 )
