Calls of targets are told by where they come from, and go first

The node beside a target learns which routes carry calls of targets: all of their requests begin on hosts of few services while those of others begin everywhere.

--- a/plugins/sidecar/book.go
+++ b/plugins/sidecar/book.go
@@ -47,6 +47,8 @@
 	// comes back has less left, so the difference is the time since its first
 	// attempt.
 	patience time.Duration
+	// nested is set when the route carries calls of targets.
+	nested bool
 }
 
 const (
@@ -125,6 +127,13 @@
 	return r.patience - remaining
 }
 
+// nested reports whether a route carries calls of targets.
+func (b *book) nested(route string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.route(route).nested
+}
+
 // candidate describes a target to the placement of a request.
 func (b *book) candidate(t *model.Target, route string, objective time.Duration, now time.Time) placement.Candidate {
 	r := b.target(t, now)
@@ -182,6 +191,7 @@
 		r.putOff(now)
 	}
 	r.load, r.at, r.sent = a.Load, now, 0
+	b.route(route).nested = a.Nested
 	if a.Outcome == model.OutcomeRan && !a.Failed {
 		b.learnWork(r, route, a.Worked, now)
 	}
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -4,9 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"time"
 
@@ -18,7 +16,6 @@
 // entry is the role of the node that the callers on its host reach.
 type entry struct {
 	host     model.Host
-	self     netip.Addr
 	exchange model.Exchange
 	replica  model.Replica
 	metrics  *metrics
@@ -39,7 +36,6 @@
 	body      *message
 	route     *ingress.Route
 	service   string
-	nested    bool
 	began     time.Time
 	deadline  time.Time
 	// onTime is until when an answer is on time.
@@ -87,12 +83,6 @@
 	refuse := func(reason model.Reason) *model.RequestRefusal {
 		return &model.RequestRefusal{ID: head.ID, Outcome: model.OutcomeNotRun, Reason: reason}
 	}
-	nested := e.fromTarget(r.RemoteAddr)
-	if e.drain.closed() && !nested {
-		refusal := refuse(model.ReasonDraining)
-		refusal.RetryAfter = leastRetryAfter
-		return nil, refusal
-	}
 	table := e.replica.Table()
 	if table == nil {
 		refusal := refuse(model.ReasonNoConfiguration)
@@ -104,6 +94,11 @@
 	if route == nil {
 		return nil, refuse(model.ReasonNoRoute)
 	}
+	if e.drain.closed() && !e.book.nested(route.Name) {
+		refusal := refuse(model.ReasonDraining)
+		refusal.RetryAfter = leastRetryAfter
+		return nil, refusal
+	}
 	began := time.Now()
 	body, err := readMessage(r.Body, r.ContentLength, table.Limits.BodyBytes)
 	switch {
@@ -121,7 +116,6 @@
 		body:      body,
 		route:     route,
 		service:   e.parts.choose(route),
-		nested:    nested,
 		began:     began,
 		deadline:  began.Add(route.Timeout),
 		refused:   map[model.TargetID]bool{},
@@ -145,17 +139,6 @@
 	return target, path
 }
 
-// fromTarget reports whether a request comes from the target on the host, not
-// from a caller.
-func (e *entry) fromTarget(remote string) bool {
-	host, _, err := net.SplitHostPort(remote)
-	if err != nil {
-		return false
-	}
-	address, err := netip.ParseAddr(host)
-	return err == nil && (address == e.self || address.IsLoopback())
-}
-
 // try makes attempts until one settles the call.
 func (e *entry) try(ctx context.Context, c *call) *answer {
 	now := time.Now()
@@ -257,7 +240,6 @@
 		OnTime:        c.onTime.Sub(began),
 		Objective:     c.route.Objective,
 		Rank:          c.route.Rank,
-		Nested:        c.nested,
 		Patient:       patient,
 		Revision:      e.replica.Revision(),
 	}
--- a/plugins/sidecar/gate.go
+++ b/plugins/sidecar/gate.go
@@ -13,6 +13,7 @@
 
 	"github.com/bronzemast/bronzemast/internal/httpconn"
 	"github.com/bronzemast/bronzemast/model"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/nesting"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/slotqueue"
 	"github.com/pkg/errors"
 )
@@ -29,8 +30,9 @@
 	drain    *drain
 	dial     func(ctx context.Context, address string) (net.Conn, error)
 
-	mu    sync.Mutex
-	lanes map[model.TargetID]*lane
+	mu      sync.Mutex
+	lanes   map[model.TargetID]*lane
+	origins *nesting.Learner
 }
 
 // answer is how an attempt ended at a target.
@@ -60,18 +62,28 @@
 // the head of a long one.
 func (g *gate) run(ctx context.Context, h *handover, header http.Header, body *message) *answer {
 	began := time.Now()
-	a := g.admit(ctx, h, header, body)
+	nested := g.nested(h)
+	a := g.admit(ctx, h, nested, header, body)
+	a.Nested = nested
 	a.Held = time.Since(began)
 	return a
 }
 
-func (g *gate) admit(ctx context.Context, h *handover, header http.Header, body *message) *answer {
+// nested reports whether a request seems to be a call of a target.
+func (g *gate) nested(h *handover) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.origins.Observe(h.Route, h.CallerService)
+	return g.origins.Nested(h.Route)
+}
+
+func (g *gate) admit(ctx context.Context, h *handover, nested bool, header http.Header, body *message) *answer {
 	l, reason := g.lane(h)
 	if l == nil {
 		return refused(reason)
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.Remaining)
-	a := g.runIn(ctx, l, h, header, body)
+	a := g.runIn(ctx, l, h, nested, header, body)
 	a.Load = l.load()
 	a.Load.Leaving = g.drain.closed()
 	if a.release == nil {
@@ -86,8 +98,8 @@
 	return a
 }
 
-func (g *gate) runIn(ctx context.Context, l *lane, h *handover, header http.Header, body *message) *answer {
-	t := g.ticket(l, h, time.Now())
+func (g *gate) runIn(ctx context.Context, l *lane, h *handover, nested bool, header http.Header, body *message) *answer {
+	t := g.ticket(l, h, nested, time.Now())
 	if t == nil {
 		return refused(model.ReasonDeadline)
 	}
@@ -114,14 +126,14 @@
 }
 
 // ticket describes the request to the queue; nil if it cannot end in time.
-func (g *gate) ticket(l *lane, h *handover, now time.Time) *slotqueue.Ticket {
+func (g *gate) ticket(l *lane, h *handover, nested bool, now time.Time) *slotqueue.Ticket {
 	expected := l.expected(h.Route, h.Objective)
 	if h.Remaining <= expected/2 {
 		return nil
 	}
-	t := &slotqueue.Ticket{Nested: h.Nested, Rank: h.Rank, Expected: expected}
+	t := &slotqueue.Ticket{Nested: nested, Rank: h.Rank, Expected: expected}
 	switch onTime := h.OnTime - expected; {
-	case h.Nested:
+	case nested:
 		t.StartBy = now.Add(h.Remaining / 2)
 	case onTime > 0:
 		t.StartBy = now.Add(min(onTime, h.Remaining-expected/2))
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -45,7 +45,6 @@
 	OnTime    time.Duration
 	Objective time.Duration
 	Rank      int
-	Nested    bool
 	// Patient requests may wait for a slot; others are refused if none is free.
 	Patient bool
 	// Revision is the store's revision that the sender has.
@@ -62,6 +61,8 @@
 	Handed bool
 	// Failed is set when the target failed the request or gave no whole answer.
 	Failed bool
+	// Nested is set when requests of the route seem to be calls of targets.
+	Nested bool
 	// Worked is how long the target took, Held how long the request was at the
 	// node beside it.
 	Worked     time.Duration
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -15,6 +15,7 @@
 	"github.com/bronzemast/bronzemast/internal/jsonc"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/nesting"
 	"github.com/pkg/errors"
 )
 
@@ -126,10 +127,10 @@
 		drain:    s.drain,
 		dial:     transport.DialTarget,
 		lanes:    map[model.TargetID]*lane{},
+		origins:  nesting.New(),
 	}
 	s.entry = &entry{
 		host:     ctx.Host(),
-		self:     peer.Addr(),
 		exchange: exchange,
 		replica:  replica,
 		metrics:  m,
