--- a/plugins/sidecar/book.go
+++ b/plugins/sidecar/book.go
@@ -68,9 +68,6 @@
 	leavingPause = time.Second
 	firstAway    = 250 * time.Millisecond
 	longestAway  = 2 * time.Second
-	// remotePart is the advantage of the own failure domain as a part of the run
-	// time, for the bytes that stay within it.
-	remotePart = 0.4
 )
 
 func newBook(self netip.Addr, domain string) *book {
@@ -135,7 +132,7 @@
 }
 
 // candidate describes a target to the placement of a request.
-func (b *book) candidate(t *model.Target, route string, objective time.Duration, now time.Time) placement.Candidate {
+func (b *book) candidate(t *model.Target, route string, objective, onTime time.Duration, now time.Time) placement.Candidate {
 	r := b.target(t, now)
 	work := b.route(route).work
 	if work == 0 {
@@ -150,13 +147,12 @@
 		Occupied: max(told+float64(r.sent), float64(r.inFlight)),
 		Slots:    t.Slots,
 		Work:     time.Duration(float64(work) * pace),
+		OnTime:   onTime,
 		Distance: r.distance,
+		Remote:   t.Domain != b.domain,
 		Failing:  r.load.Failing * halved(now.Sub(r.at), failHalfLife),
 		Away:     now.Before(r.awayUntil) || r.load.Leaving && now.Sub(r.at) < leavingPause,
 	}
-	if t.Domain != b.domain {
-		c.Distance += time.Duration(remotePart * float64(work))
-	}
 	return c
 }
 
--- a/plugins/sidecar/choice.go
+++ b/plugins/sidecar/choice.go
@@ -22,6 +22,11 @@
 func (b *book) choose(c *call, targets []*model.Target, random float64, now time.Time) choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	// A request that is late already is placed as if it had all of its time.
+	onTime := c.onTime.Sub(now)
+	if onTime <= 0 {
+		onTime = c.route.Objective
+	}
 	var left []*model.Target
 	var candidates []placement.Candidate
 	free := 0
@@ -29,7 +34,7 @@
 		if t.Leaving || c.failed[t.ID] {
 			continue
 		}
-		candidate := b.candidate(t, c.route.Name, c.route.Objective, now)
+		candidate := b.candidate(t, c.route.Name, c.route.Objective, onTime, now)
 		if candidate.Free() && !c.refused[t.ID] {
 			free++
 		}
--- a/plugins/sidecar/placement/placement.go
+++ b/plugins/sidecar/placement/placement.go
@@ -1,7 +1,8 @@
 // Package placement chooses the target of a request from what the node has seen
-// of each target. It answers uneven load and uneven targets: the one expected to
-// answer first gets the request, nearer ones before others, and one that fails or
-// does not answer gets little. It does no I/O.
+// of each target. It answers uneven load and uneven targets: the request goes where
+// it is least likely to be late, within its own failure domain unless that costs
+// its caller time, and rarely to a target that fails or does not answer. It does no
+// I/O.
 package placement
 
 import (
@@ -17,28 +18,37 @@
 	Slots int
 	// Work is how long it is expected to work on the request.
 	Work time.Duration
+	// OnTime is the time that is left for the answer to be on time.
+	OnTime time.Duration
 	// Distance is the time that the way there and back takes.
 	Distance time.Duration
+	// Remote is set when the target is in another failure domain.
+	Remote bool
 	// Failing is the share of requests that it fails, from 0 to 1.
 	Failing float64
 	// Away is set when its node did not answer lately.
 	Away bool
 }
 
+// The costs below are in units of a request that is late.
+const (
+	// remoteCost is the cost of the bytes that leave the failure domain.
+	remoteCost = 0.25
+	// slowCost is the cost of using up all of the time for an answer on time. It
+	// decides between targets where the request is as good as late, or is not.
+	slowCost = 0.02
+	// failureCost is the cost of a failed request.
+	failureCost = 2
+	// awayCost makes targets that do not answer the last choice.
+	awayCost = 1000
+)
+
 // crowding is by how much a target slows down towards its last slot, as a part of
 // its work.
 const crowding = 0.3
 
-// failureCost is the cost of a failed request in units of its work, on top of the
-// work that is lost.
-const failureCost = 8
-
-// awayCost makes targets that do not answer the last choice.
-const awayCost = time.Hour
-
-// Cost is the expected time of a request at the candidate, with what its
-// failures cost.
-func (c Candidate) Cost() time.Duration {
+// Expected is the time until the answer of the candidate.
+func (c Candidate) Expected() time.Duration {
 	slots := float64(max(c.Slots, 1))
 	share := c.Occupied / slots
 	work := float64(c.Work)
@@ -46,14 +56,36 @@
 	if waiting := c.Occupied + 1 - slots; waiting > 0 {
 		expected += work * waiting / slots
 	}
-	expected += c.Failing * failureCost * work
-	cost := time.Duration(expected) + c.Distance
+	return time.Duration(expected) + c.Distance
+}
+
+// Cost is what the request costs at the candidate.
+func (c Candidate) Cost() float64 {
+	used := float64(c.Expected()) / float64(max(c.OnTime, time.Millisecond))
+	cost := late(used) + slowCost*used + failureCost*c.Failing
+	if c.Remote {
+		cost += remoteCost
+	}
 	if c.Away {
 		cost += awayCost
 	}
 	return cost
 }
 
+// late is the probability that a request is late whose expected time is a part of
+// what it has. Run times are taken to be exponential beyond half of their mean.
+func late(used float64) float64 {
+	const sure = 0.5
+	if used <= 0 {
+		return 0
+	}
+	beyond := 1/used - sure
+	if beyond <= 0 {
+		return 1
+	}
+	return math.Exp(-beyond / (1 - sure))
+}
+
 // Free reports whether the candidate seems to have a free slot.
 func (c Candidate) Free() bool {
 	return !c.Away && c.Occupied < float64(c.Slots)
@@ -63,30 +95,23 @@
 // none. Candidates that cost nearly the same share the requests: random is from 0
 // to 1.
 func Choose(candidates []Candidate, random float64) int {
-	best := -1
-	lowest := time.Duration(math.MaxInt64)
+	costs := make([]float64, len(candidates))
+	lowest := math.Inf(1)
 	for i, c := range candidates {
-		if cost := c.Cost(); cost < lowest {
-			best, lowest = i, cost
-		}
-	}
-	if best < 0 {
-		return best
+		costs[i] = c.Cost()
+		lowest = min(lowest, costs[i])
 	}
-	return among(candidates, lowest+time.Duration(float64(candidates[best].Work)*evenPart), random)
-}
-
-// evenPart is the difference in cost, as a part of the work, within which
-// candidates count as equal.
-const evenPart = 0.05
-
-// among picks one of the candidates that cost at most limit.
-func among(candidates []Candidate, limit time.Duration, random float64) int {
 	var equal []int
-	for i, c := range candidates {
-		if c.Cost() <= limit {
+	for i, cost := range costs {
+		if cost <= lowest+evenCost {
 			equal = append(equal, i)
 		}
 	}
+	if len(equal) == 0 {
+		return -1
+	}
 	return equal[min(int(random*float64(len(equal))), len(equal)-1)]
 }
+
+// evenCost is the difference in cost within which candidates count as equal.
+const evenCost = 0.005
