--- a/cmd/bronzemast-node/main.go
+++ b/cmd/bronzemast-node/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/bronzemast/bronzemast"
+	"github.com/bronzemast/bronzemast/internal/reload"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/jessevdk/go-flags"
 	"github.com/pkg/errors"
@@ -51,7 +52,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	go (&reloader{opts: opts, node: node, log: log}).run(ctx)
+	go (&reload.Reloader{File: opts.Settings, Load: opts.load, Apply: node.Reload, Log: log}).Run(ctx)
 	return node.Run(ctx)
 }
 
--- a/docs/metrics_test.go
+++ b/docs/metrics_test.go
@@ -17,9 +17,9 @@
 const metricsPage = "docs/METRICS.md"
 
 // newNode assembles the node of an example, which is never started.
-func newNode(t *testing.T) *bronzemast.Node {
+func newNode(t *testing.T, example string) *bronzemast.Node {
 	t.Helper()
-	settings, err := kernel.LoadSettings(filepath.Join(root, "examples/clearplate/nodes/renewals-1.jsonc"))
+	settings, err := kernel.LoadSettings(filepath.Join(root, example))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -74,7 +74,11 @@
 	documented := documentedMetrics(t)
 	met := map[string]bool{}
 	var missing, stale []string
-	for _, name := range metricNames(newNode(t)) {
+	var names []string
+	for _, example := range exampleSettings {
+		names = append(names, metricNames(newNode(t, example))...)
+	}
+	for _, name := range names {
 		known := false
 		for row, pattern := range documented {
 			if pattern.MatchString(name) {
--- a/docs/settings_test.go
+++ b/docs/settings_test.go
@@ -20,9 +20,18 @@
 
 // pluginPage returns the page of a plug-in.
 func pluginPage(name string) string {
+	if name == "clearplate" {
+		return "platform/README.md"
+	}
 	return "plugins/" + name + "/README.md"
 }
 
+// exampleSettings names an example for each profile.
+var exampleSettings = map[kernel.Profile]string{
+	kernel.ProfileFleet:   "examples/clearplate/nodes/renewals-1.jsonc",
+	kernel.ProfileSidecar: "examples/sidecar/node.jsonc",
+}
+
 // section returns the text of a page below one of its headings.
 func section(text, heading string) string {
 	_, rest, _ := strings.Cut(text, "\n## "+heading+"\n")
@@ -121,10 +130,22 @@
 	return plugin, err
 }
 
+// baseOf returns the example settings of a node that has the plug-in.
+func baseOf(bases map[kernel.Profile]*kernel.Settings, r kernel.Registration) *kernel.Settings {
+	if base := bases[r.Profile]; base != nil {
+		return base
+	}
+	return bases[kernel.ProfileFleet]
+}
+
 func TestPagesOfThePluginsShowTheirSettings(t *testing.T) {
 	g := NewWithT(t)
-	base, err := kernel.LoadSettings(filepath.Join(root, "examples/clearplate/nodes/renewals-1.jsonc"))
-	g.Expect(err).NotTo(HaveOccurred())
+	bases := map[kernel.Profile]*kernel.Settings{}
+	for profile, example := range exampleSettings {
+		base, err := kernel.LoadSettings(filepath.Join(root, example))
+		g.Expect(err).NotTo(HaveOccurred())
+		bases[profile] = base
+	}
 	texts := map[string]string{}
 	for _, r := range kernel.Registered() {
 		text, err := os.ReadFile(filepath.Join(root, pluginPage(r.Name)))
@@ -141,7 +162,7 @@
 		}
 		shown := shownSettings(g, text, r.Name)
 		g.Expect(shown).NotTo(BeEmpty(), "the syntax of %s must show its settings", pluginPage(r.Name))
-		plugin, err := provision(*base, r, shown)
+		plugin, err := provision(*baseOf(bases, r), r, shown)
 		g.Expect(err).NotTo(HaveOccurred(), "the settings that %s shows", pluginPage(r.Name))
 		for _, l := range leaves("", settingsOf(r.New()), settingsOf(plugin)) {
 			key := l.path[strings.LastIndexByte(l.path, '.')+1:]
--- a/cmd/bronzemast-node/reload.go
+++ b/internal/reload/reload.go
@@ -1,4 +1,6 @@
-package main
+// Package reload reads the settings of a running node again after SIGHUP and when
+// their file changes.
+package reload
 
 import (
 	"context"
@@ -7,8 +9,8 @@
 	"syscall"
 	"time"
 
-	"github.com/bronzemast/bronzemast"
 	"github.com/bronzemast/bronzemast/event"
+	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/sirupsen/logrus"
 )
 
@@ -35,17 +37,22 @@
 	})
 )
 
-// reloader reads the settings again after SIGHUP and when their file changes.
-type reloader struct {
-	opts options
-	node *bronzemast.Node
-	log  *event.Log
+// Reloader keeps the settings of a node up to date.
+type Reloader struct {
+	// File is the settings file.
+	File string
+	// Load reads and checks the settings.
+	Load func() (*kernel.Settings, error)
+	// Apply puts settings in force, all of them or none.
+	Apply func(*kernel.Settings) error
+	Log   *event.Log
+
 	// seen is the modification time of the file that was read last.
 	seen time.Time
 }
 
-// run serves until ctx ends.
-func (r *reloader) run(ctx context.Context) {
+// Run serves until ctx ends.
+func (r *Reloader) Run(ctx context.Context) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
@@ -69,8 +76,8 @@
 
 // changed reports whether the file was modified since the last look. A file that
 // cannot be looked at counts as unchanged: reading it would fail as well.
-func (r *reloader) changed() bool {
-	info, err := os.Stat(r.opts.Settings)
+func (r *Reloader) changed() bool {
+	info, err := os.Stat(r.File)
 	if err != nil || info.ModTime().Equal(r.seen) {
 		return false
 	}
@@ -78,14 +85,14 @@
 	return true
 }
 
-func (r *reloader) reload(cause string) {
-	settings, err := r.opts.load()
+func (r *Reloader) reload(cause string) {
+	settings, err := r.Load()
 	if err == nil {
-		err = r.node.Reload(settings)
+		err = r.Apply(settings)
 	}
 	if err != nil {
-		r.log.Emit(eventReloadRefused, event.Fields{"cause": cause, "error": err.Error()})
+		r.Log.Emit(eventReloadRefused, event.Fields{"cause": cause, "error": err.Error()})
 		return
 	}
-	r.log.Emit(eventReloaded, event.Fields{"cause": cause})
+	r.Log.Emit(eventReloaded, event.Fields{"cause": cause})
 }
