--- a/plugins/sidecar/choice.go
+++ b/plugins/sidecar/choice.go
@@ -18,7 +18,8 @@
 	otherFree bool
 }
 
-// choose returns the best of the targets that may get a call.
+// choose returns the best of the targets that may get a call. Those that have
+// refused it come back into the choice once no other one seems to have room.
 func (b *book) choose(c *call, targets []*model.Target, random float64, now time.Time) choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -27,28 +28,40 @@
 	if onTime <= 0 {
 		onTime = c.route.Objective
 	}
-	var left []*model.Target
-	var candidates []placement.Candidate
-	free := 0
+	var all, free options
 	for _, t := range targets {
 		if t.Leaving || c.failed[t.ID] {
 			continue
 		}
 		candidate := b.candidate(t, c.route.Name, c.route.Objective, onTime, now)
+		all.add(t, candidate)
 		if candidate.Free() && !c.refused[t.ID] {
-			free++
+			free.add(t, candidate)
 		}
-		left = append(left, t)
-		candidates = append(candidates, candidate)
 	}
-	i := placement.Choose(candidates, random)
+	if len(c.refused) > 0 && len(free.targets) > 0 {
+		all = free
+	}
+	i := placement.Choose(all.candidates, random)
 	if i < 0 {
 		return choice{}
 	}
-	if candidates[i].Free() && !c.refused[left[i].ID] {
-		free--
+	others := len(free.targets)
+	if all.candidates[i].Free() && !c.refused[all.targets[i].ID] {
+		others--
 	}
-	return choice{target: left[i], otherFree: free > 0}
+	return choice{target: all.targets[i], otherFree: others > 0}
+}
+
+// options are targets and how they look to the placement.
+type options struct {
+	targets    []*model.Target
+	candidates []placement.Candidate
+}
+
+func (o *options) add(t *model.Target, c placement.Candidate) {
+	o.targets = append(o.targets, t)
+	o.candidates = append(o.candidates, c)
 }
 
 // parts spreads the requests of each route over its services by their weights.
--- /dev/null
+++ b/plugins/sidecar/retrybudget/budget_test.go
@@ -0,0 +1,70 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func TestABudgetRunsOutAndFillsAgain(t *testing.T) {
+	g := NewWithT(t)
+	b := Budget{Ratio: 0.1, Reserve: 4, Window: 10 * time.Second}
+	taken := 0
+	for b.Withdraw(start) {
+		taken++
+	}
+	g.Expect(taken).To(Equal(2), "half of the reserve is at hand")
+	g.Expect(b.Withdraw(start.Add(time.Second))).To(BeFalse())
+	g.Expect(b.Withdraw(start.Add(6 * time.Second))).To(BeTrue())
+	for range 10 {
+		b.Deposit(start.Add(6 * time.Second))
+	}
+	g.Expect(b.Withdraw(start.Add(6*time.Second))).To(BeTrue(), "ten requests add one retry")
+}
+
+// Property: no window sees more retries than the reserve and its share of the
+// window's requests, give or take one.
+func TestNoWindowSeesMoreThanItsBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		b := Budget{
+			Ratio:   rapid.Float64Range(0, 0.5).Draw(t, "ratio"),
+			Reserve: rapid.Float64Range(2, 60).Draw(t, "reserve"),
+			Window:  window,
+		}
+		now := start
+		var requests, retries []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			b.Deposit(now)
+			requests = append(requests, now)
+			for rapid.Bool().Draw(t, "fails") {
+				if !b.Withdraw(now) {
+					break
+				}
+				retries = append(retries, now)
+			}
+		}
+		for _, end := range retries {
+			allowed := b.Reserve + 1 + b.Ratio*float64(within(requests, end, window)+1)
+			if used := within(retries, end, window); float64(used) > allowed {
+				t.Fatalf("%d retries in a window that allows %.1f", used, allowed)
+			}
+		}
+	})
+}
+
+// within counts the times in the window that ends at end.
+func within(times []time.Time, end time.Time, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if !at.After(end) && end.Sub(at) < window {
+			n++
+		}
+	}
+	return n
+}
