Structured log lines for requests, and slow targets told by runs that were broken off

Cause: a target that had become twelve times slower never ended a run within the route's timeout, so nobody learnt that it was slow; its node expected runs to take as long as ever, and entry nodes sent requests there because it had free slots.

Log lines of requests are bounded by a budget, failures first, and never hold up a request.

--- a/cmd/bronzemast-node/main.go
+++ b/cmd/bronzemast-node/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/bronzemast/bronzemast"
+	"github.com/bronzemast/bronzemast/internal/logpipe"
 	"github.com/bronzemast/bronzemast/internal/reload"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/jessevdk/go-flags"
@@ -42,7 +43,9 @@
 	if err != nil {
 		return err
 	}
-	log, err := kernel.NewEventLog(settings, os.Stdout)
+	out := logpipe.New(os.Stdout)
+	defer out.Close()
+	log, err := kernel.NewEventLog(settings, out)
 	if err != nil {
 		return errors.Wrap(err, "log settings")
 	}
--- a/cmd/bronzemast/events.go
+++ b/cmd/bronzemast/events.go
@@ -6,8 +6,9 @@
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/internal/cli"
 	"github.com/bronzemast/bronzemast/internal/eventdoc"
-	_ "github.com/bronzemast/bronzemast/internal/reload" // defines events
-	_ "github.com/bronzemast/bronzemast/plugins/all"     // defines the events
+	_ "github.com/bronzemast/bronzemast/internal/logpipe" // defines events
+	_ "github.com/bronzemast/bronzemast/internal/reload"  // defines events
+	_ "github.com/bronzemast/bronzemast/plugins/all"      // defines the events
 )
 
 func init() {
--- a/internal/eventdoc/eventdoc_test.go
+++ b/internal/eventdoc/eventdoc_test.go
@@ -9,7 +9,8 @@
 
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/internal/eventdoc"
-	_ "github.com/bronzemast/bronzemast/internal/reload" // defines events
+	_ "github.com/bronzemast/bronzemast/internal/logpipe" // defines events
+	_ "github.com/bronzemast/bronzemast/internal/reload"  // defines events
 	_ "github.com/bronzemast/bronzemast/plugins/all"
 )
 
--- /dev/null
+++ b/internal/logpipe/logpipe_test.go
@@ -0,0 +1,56 @@
+package logpipe
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestLinesArriveInOrder(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	p := New(&out)
+	for _, line := range []string{"one\n", "two\n", "three\n"} {
+		_, _ = p.Write([]byte(line))
+	}
+	p.Close()
+	g.Expect(out.String()).To(Equal("one\ntwo\nthree\n"))
+}
+
+func TestAFullPipeHoldsNobodyUp(t *testing.T) {
+	g := NewWithT(t)
+	reader, writer, err := os.Pipe()
+	g.Expect(err).NotTo(HaveOccurred())
+	p := New(writer)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	began := time.Now()
+	for range 4 * maxBytes / len(line) {
+		_, _ = p.Write(line)
+	}
+	g.Expect(time.Since(began)).To(BeNumerically("<", 5*time.Second), "nobody reads the pipe")
+	read := make(chan string)
+	go func() {
+		data, _ := io.ReadAll(reader) // what was read counts
+		read <- string(data)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	_, _ = p.Write([]byte("last\n"))
+	p.Close()
+	g.Expect(writer.Close()).To(Succeed())
+	g.Expect(<-read).To(And(ContainSubstring("log lines dropped"), ContainSubstring("last\n")))
+}
+
+func TestNothingIsWrittenAfterTheEnd(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	p := New(&out)
+	p.Close()
+	p.Close()
+	_, _ = p.Write([]byte("late\n"))
+	g.Expect(out.String()).To(BeEmpty())
+}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"expvar"
 	"reflect"
+	"strconv"
 
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/model"
@@ -84,6 +85,12 @@
 			return errors.Wrapf(err, "start plug-in %s", l.name)
 		}
 	}
+	k.emit(eventStarted, event.Fields{
+		"profile":        k.settings.profile(),
+		"incarnation":    strconv.FormatUint(uint64(k.incarnation), 16),
+		"failure_domain": k.settings.Host.Domain,
+		"service":        k.settings.Host.Service,
+	})
 	return nil
 }
 
@@ -107,6 +114,11 @@
 	}
 	k.stopDuty()
 	k.duties.Wait()
+	message := ""
+	if first != nil {
+		message = first.Error()
+	}
+	k.emit(eventStopped, event.Fields{"error": message})
 	return first
 }
 
--- a/plugins/sidecar/book.go
+++ b/plugins/sidecar/book.go
@@ -28,9 +28,8 @@
 	at       time.Time
 	sent     int
 	inFlight int
-	// pace is the target's run time relative to the mean of all targets.
+	// pace is the target's usual run time relative to the mean of all targets.
 	pace     float64
-	pacedAt  time.Time
 	distance time.Duration
 	// awayUntil is when the target may be tried again after its node did not
 	// answer, and awayFor how long it was put off.
@@ -52,7 +51,8 @@
 }
 
 const (
-	paceWeight = 0.2
+	// paceWeight is the weight of the newest run in the usual pace of a target.
+	paceWeight = 0.1
 	// loadHalfLife, paceHalfLife and failHalfLife are the times after which half
 	// of what a target told is forgotten, so that one that has become well gets
 	// requests again.
@@ -93,7 +93,7 @@
 func (b *book) target(t *model.Target, now time.Time) *record {
 	r := b.targets[t.ID]
 	if r == nil {
-		r = &record{pace: 1, pacedAt: now, coldUntil: now.Add(t.Cold), distance: firstDistance}
+		r = &record{pace: 1, coldUntil: now.Add(t.Cold), distance: firstDistance}
 		if t.Address.Addr() == b.self {
 			r.distance = 0
 		}
@@ -138,7 +138,11 @@
 	if work == 0 {
 		work = objective / 3
 	}
-	pace := 1 + (r.pace-1)*halved(now.Sub(r.pacedAt), paceHalfLife)
+	slow := 1 + (r.load.Slow-1)*halved(now.Sub(r.at), paceHalfLife)
+	if r.load.Slow == 0 {
+		slow = 1
+	}
+	pace := r.pace * slow
 	if now.Before(r.coldUntil) {
 		pace = max(pace, coldPace)
 	}
@@ -189,24 +193,28 @@
 	r.load, r.at, r.sent = a.Load, now, 0
 	b.route(route).nested = a.Nested
 	if a.Outcome == model.OutcomeRan && !a.Failed {
-		b.learnWork(r, route, a.Worked, now)
+		b.learnWork(r, route, a.Worked)
 	}
 	if rest := took - a.Held; a.Held > 0 && rest > 0 && t.Address.Addr() != b.self {
 		r.distance += time.Duration(distanceWeight * float64(rest-r.distance))
 	}
 }
 
-func (b *book) learnWork(r *record, route string, worked time.Duration, now time.Time) {
+// learnWork takes in a run: the usual pace of the target, and the mean of the route
+// over all targets. What the target's node tells of the present is left out.
+func (b *book) learnWork(r *record, route string, worked time.Duration) {
+	usual := float64(worked) / max(r.load.Slow, leastPace)
 	rr := b.route(route)
 	if rr.work == 0 {
-		rr.work = worked
+		rr.work = time.Duration(usual)
 	}
-	sample := float64(worked) / float64(max(rr.work, time.Millisecond))
-	r.pace += paceWeight * (sample - r.pace)
-	r.pacedAt = now
-	rr.work += time.Duration(workWeight * (float64(worked)/max(r.pace, 0.1) - float64(rr.work)))
+	r.pace += paceWeight * (usual/float64(max(rr.work, time.Millisecond)) - r.pace)
+	rr.work += time.Duration(workWeight * (usual/max(r.pace, leastPace) - float64(rr.work)))
 }
 
+// leastPace keeps one run that ended at once from making a target look idle.
+const leastPace = 0.1
+
 // putOff keeps requests from a target that did not answer, longer each time.
 func (r *record) putOff(now time.Time) {
 	r.awayFor = min(max(2*r.awayFor, firstAway), longestAway)
--- a/plugins/sidecar/choice.go
+++ b/plugins/sidecar/choice.go
@@ -13,13 +13,16 @@
 // choice is the target of an attempt.
 type choice struct {
 	target *model.Target
-	// otherFree is set when a target that has not refused the call seems to have
-	// a free slot.
+	// candidate is what the node believed of the target, and loadAge how old the
+	// load is that this rests on.
+	candidate placement.Candidate
+	loadAge   time.Duration
+	// otherFree is set when another target seems to have a free slot and is hardly
+	// worse.
 	otherFree bool
 }
 
-// choose returns the best of the targets that may get a call. Those that have
-// refused it come back into the choice once no other one seems to have room.
+// choose returns the best of the targets that may get a call.
 func (b *book) choose(c *call, targets []*model.Target, random float64, now time.Time) choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -28,40 +31,27 @@
 	if onTime <= 0 {
 		onTime = c.route.Objective
 	}
-	var all, free options
+	var left []*model.Target
+	var candidates []placement.Candidate
 	for _, t := range targets {
 		if t.Leaving || c.failed[t.ID] {
 			continue
 		}
 		candidate := b.candidate(t, c.route.Name, c.route.Objective, onTime, now)
-		all.add(t, candidate)
-		if candidate.Free() && !c.refused[t.ID] {
-			free.add(t, candidate)
-		}
-	}
-	if len(c.refused) > 0 && len(free.targets) > 0 {
-		all = free
+		candidate.Refused = c.refused[t.ID]
+		left = append(left, t)
+		candidates = append(candidates, candidate)
 	}
-	i := placement.Choose(all.candidates, random)
+	i := placement.Choose(candidates, random)
 	if i < 0 {
 		return choice{}
 	}
-	others := len(free.targets)
-	if all.candidates[i].Free() && !c.refused[all.targets[i].ID] {
-		others--
+	return choice{
+		target:    left[i],
+		candidate: candidates[i],
+		loadAge:   now.Sub(b.target(left[i], now).at),
+		otherFree: placement.Alternative(candidates, i),
 	}
-	return choice{target: all.targets[i], otherFree: others > 0}
-}
-
-// options are targets and how they look to the placement.
-type options struct {
-	targets    []*model.Target
-	candidates []placement.Candidate
-}
-
-func (o *options) add(t *model.Target, c placement.Candidate) {
-	o.targets = append(o.targets, t)
-	o.candidates = append(o.candidates, c)
 }
 
 // parts spreads the requests of each route over its services by their weights.
--- a/plugins/sidecar/drain.go
+++ b/plugins/sidecar/drain.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/internal/clock"
 )
 
@@ -13,6 +14,7 @@
 // leaves; then it refuses new ones and waits for those in flight.
 type drain struct {
 	settings *live
+	log      *event.Log
 
 	mu       sync.Mutex
 	began    time.Time
@@ -68,14 +70,29 @@
 // wait returns once the node refuses new requests and has none in flight, or at
 // the end of the grace period.
 func (d *drain) wait(ctx context.Context) {
+	d.say("lingering")
+	defer d.say("done")
 	limit := time.Now().Add(d.settings.Load().Grace.Std() - exitTime)
+	refusing := false
 	for time.Now().Before(limit) && !(d.closed() && d.idle()) {
+		if d.closed() && !refusing {
+			refusing = true
+			d.say("refusing")
+		}
 		if !clock.Sleep(ctx, drainPoll) {
 			return
 		}
 	}
 }
 
+// say logs a stage of leaving.
+func (d *drain) say(stage string) {
+	d.mu.Lock()
+	inFlight := d.inFlight
+	d.mu.Unlock()
+	d.log.Emit(eventDrain, event.Fields{"stage": stage, "in_flight": inFlight})
+}
+
 // idle reports whether no request is in flight, nor was a moment ago.
 func (d *drain) idle() bool {
 	d.mu.Lock()
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/bronzemast/bronzemast/config/ingress"
+	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
 )
@@ -19,6 +19,7 @@
 	exchange model.Exchange
 	replica  model.Replica
 	metrics  *metrics
+	tracer   *tracer
 	book     *book
 	parts    *parts
 	budgets  *budgets
@@ -36,8 +37,10 @@
 	body      *message
 	route     *ingress.Route
 	service   string
-	began     time.Time
-	deadline  time.Time
+	// configuration is the number of the one that the request began with.
+	configuration uint64
+	began         time.Time
+	deadline      time.Time
 	// onTime is until when an answer is on time.
 	onTime time.Time
 	// handed counts the targets that the request has reached.
@@ -47,6 +50,8 @@
 	// be tried again.
 	refused map[model.TargetID]bool
 	failed  map[model.TargetID]bool
+	// trace holds the log lines of the attempts so far.
+	trace []line
 }
 
 // noConfigurationRetry is when callers should come back to a node that has no
@@ -72,6 +77,8 @@
 	defer a.close()
 	if r.Context().Err() != nil {
 		e.metrics.canceled.Add(1)
+		a.Outcome, a.Reason = model.OutcomeUnknown, model.ReasonCanceled
+		e.tracer.request(c, a, 0, 0, e.replica.Revision())
 		panic(http.ErrAbortHandler) // the caller has gone
 	}
 	e.deliver(w, c, a)
@@ -108,18 +115,19 @@
 		return nil, refuse(model.ReasonBadRequest)
 	}
 	c := &call{
-		id:        head.ID,
-		method:    r.Method,
-		target:    target,
-		authority: r.Host,
-		header:    passedOn(r.Header),
-		body:      body,
-		route:     route,
-		service:   e.parts.choose(route),
-		began:     began,
-		deadline:  began.Add(route.Timeout),
-		refused:   map[model.TargetID]bool{},
-		failed:    map[model.TargetID]bool{},
+		id:            head.ID,
+		method:        r.Method,
+		target:        target,
+		authority:     r.Host,
+		header:        passedOn(r.Header),
+		body:          body,
+		route:         route,
+		service:       e.parts.choose(route),
+		configuration: table.Number,
+		began:         began,
+		deadline:      began.Add(route.Timeout),
+		refused:       map[model.TargetID]bool{},
+		failed:        map[model.TargetID]bool{},
 	}
 	if head.Remaining > 0 && head.Remaining < route.Timeout {
 		c.deadline = began.Add(head.Remaining)
@@ -145,15 +153,15 @@
 	e.budgets.deposit(c.service, now)
 	var last *answer
 	for {
-		t, patient := e.choose(c)
-		if t == nil {
+		chosen, patient := e.choose(c)
+		if chosen.target == nil {
 			return withoutTarget(last)
 		}
 		if last != nil {
 			last.close()
 		}
-		a := e.attempt(ctx, c, t, patient)
-		if e.settled(ctx, c, t, a) {
+		a := e.attempt(ctx, c, chosen, patient)
+		if e.settled(ctx, c, chosen.target, a) {
 			return a
 		}
 		last = a
@@ -214,16 +222,14 @@
 
 // choose returns the target of the next attempt, nil if there is none. patient
 // tells whether the request may wait for a slot there.
-func (e *entry) choose(c *call) (t *model.Target, patient bool) {
-	chosen := e.book.choose(c, e.replica.Targets().ByService[c.service], rand.Float64(), time.Now())
-	if chosen.target == nil {
-		return nil, false
-	}
-	return chosen.target, !chosen.otherFree || c.hops+1 >= maxHops
+func (e *entry) choose(c *call) (chosen choice, patient bool) {
+	chosen = e.book.choose(c, e.replica.Targets().ByService[c.service], rand.Float64(), time.Now())
+	return chosen, !chosen.otherFree || c.hops+1 >= maxHops
 }
 
 // attempt hands the call to one target.
-func (e *entry) attempt(ctx context.Context, c *call, t *model.Target, patient bool) *answer {
+func (e *entry) attempt(ctx context.Context, c *call, chosen choice, patient bool) *answer {
+	t := chosen.target
 	c.hops++
 	began := time.Now()
 	h := &handover{
@@ -250,6 +256,21 @@
 	if a.Handed {
 		c.handed++
 	}
+	c.trace = append(c.trace, line{event: eventAttempt, fields: event.Fields{
+		"request":     c.id,
+		"hop":         c.hops,
+		"target":      t.ID,
+		"occupied":    chosen.candidate.Occupied,
+		"slots":       t.Slots,
+		"load_age_ms": chosen.loadAge.Milliseconds(),
+		"expected_ms": chosen.candidate.Expected().Milliseconds(),
+		"cost":        chosen.candidate.Cost(),
+		"patient":     patient,
+		"outcome":     a.Outcome.String(),
+		"reason":      a.Reason,
+		"handed":      a.Handed,
+		"took_ms":     now.Sub(began).Milliseconds(),
+	}})
 	return a
 }
 
@@ -257,9 +278,13 @@
 func (e *entry) deliver(w http.ResponseWriter, c *call, a *answer) {
 	e.metrics.outcome(a.Outcome, a.status)
 	if a.status == 0 || a.Outcome != model.OutcomeRan {
-		e.refuse(w, &model.RequestRefusal{ID: c.id, Outcome: a.Outcome, Reason: e.reasonOf(c, a), RetryAfter: spread(a.RetryAfter, rand.Float64())})
+		a.Reason = e.reasonOf(c, a)
+		refusal := &model.RequestRefusal{ID: c.id, Outcome: a.Outcome, Reason: a.Reason, RetryAfter: spread(a.RetryAfter, rand.Float64())}
+		status := e.refuse(w, refusal)
+		e.tracer.request(c, a, status, refusal.RetryAfter, e.replica.Revision())
 		return
 	}
+	e.tracer.request(c, a, a.status, 0, e.replica.Revision())
 	header := w.Header()
 	for name, values := range passedOn(a.header) {
 		header[name] = values
@@ -288,14 +313,14 @@
 	return min(wait+time.Duration(random*float64(wait)), mostRetryAfter)
 }
 
-// refuse answers a request in place of a target.
-func (e *entry) refuse(w http.ResponseWriter, r *model.RequestRefusal) {
+// refuse answers a request in place of a target and returns the status.
+func (e *entry) refuse(w http.ResponseWriter, r *model.RequestRefusal) int {
 	e.metrics.refused(r.Reason)
 	header := w.Header()
 	status := e.exchange.Refuse(header, *r)
 	header["Content-Length"] = []string{"0"}
 	w.WriteHeader(status)
-	_, _ = io.WriteString(w, "")
+	return status
 }
 
 // Interface guard.
--- a/plugins/sidecar/gate.go
+++ b/plugins/sidecar/gate.go
@@ -26,7 +26,7 @@
 	settings *live
 	exchange model.Exchange
 	replica  model.Replica
-	metrics  *metrics
+	tracer   *tracer
 	drain    *drain
 	dial     func(ctx context.Context, address string) (net.Conn, error)
 
@@ -62,13 +62,27 @@
 // the head of a long one.
 func (g *gate) run(ctx context.Context, h *handover, header http.Header, body *message) *answer {
 	began := time.Now()
-	nested := g.nested(h)
-	a := g.admit(ctx, h, nested, header, body)
-	a.Nested = nested
+	s := &stay{nested: g.nested(h)}
+	a := g.admit(ctx, h, s, header, body)
+	a.Nested = s.nested
 	a.Held = time.Since(began)
+	g.tracer.taken(h, s, a, g.replica.Revision())
 	return a
 }
 
+// stay is what happens to a request at the target side.
+type stay struct {
+	// nested is set if the request seems to be a call of a target.
+	nested bool
+	// late, expected and startWithin are how it asked for a slot.
+	late        bool
+	expected    time.Duration
+	startWithin time.Duration
+	// met is the load that it met, waited how long it waited for a slot.
+	met    load
+	waited time.Duration
+}
+
 // nested reports whether a request seems to be a call of a target.
 func (g *gate) nested(h *handover) bool {
 	g.mu.Lock()
@@ -77,13 +91,13 @@
 	return g.origins.Nested(h.Route)
 }
 
-func (g *gate) admit(ctx context.Context, h *handover, nested bool, header http.Header, body *message) *answer {
+func (g *gate) admit(ctx context.Context, h *handover, s *stay, header http.Header, body *message) *answer {
 	l, reason := g.lane(h)
 	if l == nil {
 		return refused(reason)
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.Remaining)
-	a := g.runIn(ctx, l, h, nested, header, body)
+	a := g.runIn(ctx, l, h, s, header, body)
 	a.Load = l.load()
 	a.Load.Leaving = g.drain.closed()
 	if a.release == nil {
@@ -98,12 +112,21 @@
 	return a
 }
 
-func (g *gate) runIn(ctx context.Context, l *lane, h *handover, nested bool, header http.Header, body *message) *answer {
-	t := g.ticket(l, h, nested, time.Now())
+func (g *gate) runIn(ctx context.Context, l *lane, h *handover, s *stay, header http.Header, body *message) *answer {
+	s.met = l.load()
+	s.expected = l.expected(h.Route, h.Objective)
+	arrived := time.Now()
+	t := ticket(h, s, arrived)
+	if t == nil && s.met.Running == 0 {
+		// A target that has been too slow shows only by a run that it is well.
+		t = &slotqueue.Ticket{Rank: h.Rank, Expected: s.expected, StartBy: arrived}
+	}
 	if t == nil {
 		return refused(model.ReasonDeadline)
 	}
+	s.late, s.startWithin = t.Late, t.StartBy.Sub(arrived)
 	started, retryAfter := l.enter(ctx, t, h.Patient)
+	s.waited = time.Since(arrived)
 	if !started {
 		a := refused(model.ReasonOverloaded)
 		a.RetryAfter = retryAfter
@@ -126,20 +149,19 @@
 }
 
 // ticket describes the request to the queue; nil if it cannot end in time.
-func (g *gate) ticket(l *lane, h *handover, nested bool, now time.Time) *slotqueue.Ticket {
-	expected := l.expected(h.Route, h.Objective)
-	if h.Remaining <= expected/2 {
+func ticket(h *handover, s *stay, now time.Time) *slotqueue.Ticket {
+	if h.Remaining <= s.expected/2 {
 		return nil
 	}
-	t := &slotqueue.Ticket{Nested: nested, Rank: h.Rank, Expected: expected}
-	switch onTime := h.OnTime - expected; {
-	case nested:
+	t := &slotqueue.Ticket{Nested: s.nested, Rank: h.Rank, Expected: s.expected}
+	switch onTime := h.OnTime - s.expected; {
+	case s.nested:
 		t.StartBy = now.Add(h.Remaining / 2)
 	case onTime > 0:
-		t.StartBy = now.Add(min(onTime, h.Remaining-expected/2))
+		t.StartBy = now.Add(min(onTime, h.Remaining-s.expected/2))
 	default:
 		t.Late = true
-		t.StartBy = now.Add(min(h.Objective/4, (h.Remaining-expected/2)/2))
+		t.StartBy = now.Add(min(h.Objective/4, (h.Remaining-s.expected/2)/2))
 	}
 	return t
 }
@@ -233,6 +255,9 @@
 		},
 	})
 	if err != nil {
+		if ctx.Err() != nil {
+			l.unfinished(h.Route, time.Since(began))
+		}
 		return g.unanswered(ctx, l, h, err)
 	}
 	return g.take(ctx, l, h, response, began)
@@ -242,7 +267,7 @@
 func (g *gate) unanswered(ctx context.Context, l *lane, h *handover, err error) *answer {
 	var failure *httpconn.Error
 	if errors.As(err, &failure) && !failure.Sent {
-		l.observe(h.Route, 0, false, true)
+		l.failed(true)
 		a := refused(model.ReasonUnreachable)
 		a.Failed = true
 		return a
@@ -254,7 +279,7 @@
 	case ctx.Err() != nil:
 		a.Reason = model.ReasonCanceled
 	default:
-		l.observe(h.Route, 0, false, true)
+		l.failed(true)
 	}
 	return a
 }
@@ -281,7 +306,7 @@
 		if head.WrongTarget {
 			a.Reason = model.ReasonNoTarget
 		}
-		l.observe(h.Route, 0, false, !head.WrongTarget)
+		l.failed(!head.WrongTarget)
 		return a
 	case head.Encoded || !head.Signed && a.status < http.StatusMultipleChoices:
 		body.close()
@@ -289,7 +314,10 @@
 	}
 	a.Outcome = model.OutcomeRan
 	a.Failed = a.status >= http.StatusInternalServerError
-	l.observe(h.Route, a.Worked, !a.Failed, a.Failed && a.status != http.StatusGatewayTimeout)
+	if !a.Failed {
+		l.ended(h.Route, a.Worked)
+	}
+	l.failed(a.Failed && a.status != http.StatusGatewayTimeout)
 	if !body.whole() {
 		a.release = func() {}
 	}
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -82,6 +82,9 @@
 	Wait time.Duration
 	// Failing is the share of recent requests that the target failed.
 	Failing float64
+	// Slow is the present run time of requests relative to what the target usually
+	// takes.
+	Slow float64
 	// Leaving is set when the node takes no more requests for its target.
 	Leaving bool
 }
--- a/plugins/sidecar/lane.go
+++ b/plugins/sidecar/lane.go
@@ -21,6 +21,8 @@
 	// timer ends the wait of the request that must start first.
 	timer *time.Timer
 	work  map[string]time.Duration
+	// slow is the present run time of requests relative to their route's mean.
+	slow  float64
 	fails average
 }
 
@@ -30,14 +32,25 @@
 		pool:     pool,
 		queue:    slotqueue.New(slots),
 		work:     map[string]time.Duration{},
+		slow:     1,
 	}
 	l.timer = time.AfterFunc(time.Hour, l.expire)
 	l.timer.Stop()
 	return l
 }
 
-// workWeight is the weight of the newest run time in the mean of a route.
-const workWeight = 0.15
+const (
+	// workWeight is the weight of the newest run time in the mean of a route.
+	workWeight = 0.05
+	// slowWeight is the weight of the newest run in the present pace of the target.
+	// It is larger for runs that take far longer than they use to, so that a slow
+	// target is found out after a few of them, and for the first that does not.
+	slowWeight     = 0.1
+	surprise       = 3
+	surpriseWeight = 0.25
+	// mostSlow bounds what one run can tell.
+	mostSlow = 20
+)
 
 // failWeight is the weight of the newest result in the share of failures. A
 // target that fails half of its requests is found out after a few of them.
@@ -138,23 +151,54 @@
 func (l *lane) expected(route string, objective time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if work, ok := l.work[route]; ok {
-		return work
+	work, ok := l.work[route]
+	if !ok {
+		work = objective / 3
 	}
-	return objective / 3
+	return time.Duration(float64(work) * l.slow)
 }
 
-// observe takes in how a request ended at the target.
-func (l *lane) observe(route string, worked time.Duration, whole, failed bool) {
+// ended takes in a run that ended with a whole answer.
+func (l *lane) ended(route string, worked time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if whole {
-		mean, known := l.work[route]
-		if !known {
-			mean = worked
-		}
-		l.work[route] = mean + time.Duration(workWeight*float64(worked-mean))
+	mean, known := l.work[route]
+	if !known {
+		l.work[route] = time.Duration(float64(worked) / l.slow)
+		return
+	}
+	l.pace(float64(worked) / float64(max(mean, time.Millisecond)))
+	l.work[route] = mean + time.Duration(workWeight*(float64(worked)/l.slow-float64(mean)))
+}
+
+// unfinished takes in a run that was broken off after a time. It tells something
+// only if it had taken longer by then than expected.
+func (l *lane) unfinished(route string, worked time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	mean, known := l.work[route]
+	if !known {
+		return
 	}
+	if sample := float64(worked) / float64(max(mean, time.Millisecond)); sample > l.slow {
+		l.pace(sample)
+	}
+}
+
+// pace takes in a run time relative to the mean of its route. The caller holds mu.
+func (l *lane) pace(sample float64) {
+	sample = min(sample, mostSlow)
+	weight := slowWeight
+	if sample > surprise*l.slow || l.slow > surprise*sample {
+		weight = surpriseWeight
+	}
+	l.slow += weight * (sample - l.slow)
+}
+
+// failed counts whether the target failed a request.
+func (l *lane) failed(failed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.fails.add(failed, failWeight)
 }
 
@@ -168,6 +212,7 @@
 		Slots:   l.queue.Limit(),
 		Wait:    l.queue.ExpectedWait(time.Now()),
 		Failing: l.fails.value,
+		Slow:    l.slow,
 	}
 }
 
--- a/plugins/sidecar/placement/placement.go
+++ b/plugins/sidecar/placement/placement.go
@@ -28,6 +28,8 @@
 	Failing float64
 	// Away is set when its node did not answer lately.
 	Away bool
+	// Refused is set when it had no free slot for the request a moment ago.
+	Refused bool
 }
 
 // The costs below are in units of a request that is late.
@@ -39,6 +41,8 @@
 	slowCost = 0.02
 	// failureCost is the cost of a failed request.
 	failureCost = 2
+	// refusedCost is the cost of asking a target again that was full a moment ago.
+	refusedCost = 0.1
 	// awayCost makes targets that do not answer the last choice.
 	awayCost = 1000
 )
@@ -66,6 +70,9 @@
 	if c.Remote {
 		cost += remoteCost
 	}
+	if c.Refused {
+		cost += refusedCost
+	}
 	if c.Away {
 		cost += awayCost
 	}
@@ -86,11 +93,27 @@
 	return math.Exp(-beyond / (1 - sure))
 }
 
-// Free reports whether the candidate seems to have a free slot.
-func (c Candidate) Free() bool {
-	return !c.Away && c.Occupied < float64(c.Slots)
+// free reports whether the candidate seems to have a free slot.
+func (c Candidate) free() bool {
+	return !c.Away && !c.Refused && c.Occupied < float64(c.Slots)
 }
 
+// Alternative reports whether another candidate than the chosen one seems to have a
+// free slot and is hardly worse, so that the request need not wait at the chosen one.
+func Alternative(candidates []Candidate, chosen int) bool {
+	limit := candidates[chosen].Cost() + alternativeCost
+	for i, c := range candidates {
+		if i != chosen && c.free() && c.Cost() <= limit {
+			return true
+		}
+	}
+	return false
+}
+
+// alternativeCost is by how much another target may be worse than the best one to be
+// asked before the request waits there.
+const alternativeCost = 0.3
+
 // Choose returns the index of the candidate with the lowest cost, -1 if there is
 // none. Candidates that cost nearly the same share the requests: random is from 0
 // to 1.
--- a/plugins/sidecar/placement/placement_test.go
+++ b/plugins/sidecar/placement/placement_test.go
@@ -27,6 +27,7 @@
 		"away":                 with(func(c *Candidate) { c.Away = true }),
 		"in another domain":    with(func(c *Candidate) { c.Remote = true }),
 		"far":                  with(func(c *Candidate) { c.Distance = 200 * time.Millisecond }),
+		"full a moment ago":    with(func(c *Candidate) { c.Refused = true }),
 		"away but idle":        with(func(c *Candidate) { c.Away, c.Occupied = true, 0 }),
 		"failing but idle":     with(func(c *Candidate) { c.Failing, c.Occupied = 0.4, 0 }),
 		"slow in own domain":   with(func(c *Candidate) { c.Work = 900 * time.Millisecond }),
@@ -59,6 +60,16 @@
 	g.Expect(counts).To(Equal(map[int]int{0: 100, 1: 100, 2: 100}))
 }
 
+func TestARequestWaitsUnlessAnotherTargetIsFreeAndHardlyWorse(t *testing.T) {
+	g := NewWithT(t)
+	full := with(func(c *Candidate) { c.Occupied = 12 })
+	slow := with(func(c *Candidate) { c.Work = 3 * time.Second })
+	refused := with(func(c *Candidate) { c.Refused = true })
+	g.Expect(Alternative([]Candidate{full, near()}, 0)).To(BeTrue())
+	g.Expect(Alternative([]Candidate{full, slow, refused, full}, 0)).To(BeFalse())
+	g.Expect(Alternative([]Candidate{full}, 0)).To(BeFalse())
+}
+
 func TestWithoutTargetsThereIsNoChoice(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(Choose(nil, 0.5)).To(Equal(-1))
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -37,6 +37,8 @@
 	// defaultLinger lasts for two readiness calls, one a second, and a little more.
 	defaultLinger = 2700 * time.Millisecond
 	defaultGrace  = 25 * time.Second
+	// defaultLogLines is a few lines for each of ten failed requests a second.
+	defaultLogLines = 50
 )
 
 // Settings are the settings of the plug-in.
@@ -56,6 +58,9 @@
 	Linger jsonc.Duration `json:"linger"`
 	// Grace is how long a draining node may take in all.
 	Grace jsonc.Duration `json:"grace"`
+	// LogLines bounds the log lines about requests, per second. It holds from the
+	// start of the node.
+	LogLines float64 `json:"log_lines"`
 }
 
 // live holds the settings in force.
@@ -72,6 +77,8 @@
 	entry    *entry
 	gate     *gate
 	drain    *drain
+	tracer   *tracer
+	run      func(duty string, run func(ctx context.Context))
 }
 
 func newSidecar() *Sidecar {
@@ -87,6 +94,7 @@
 		RetryWindow:    jsonc.Duration(defaultRetryWindow),
 		Linger:         jsonc.Duration(defaultLinger),
 		Grace:          jsonc.Duration(defaultGrace),
+		LogLines:       defaultLogLines,
 	}
 }
 
@@ -115,7 +123,9 @@
 	}
 	s.live.Store(&s.settings)
 	peerPort := strconv.Itoa(int(peer.Port()))
-	s.drain = &drain{settings: &s.live}
+	s.drain = &drain{settings: &s.live, log: ctx.Log()}
+	s.tracer = newTracer(ctx.Log(), s.settings.LogLines)
+	s.run = ctx.Go
 	m := newMetrics(ctx.Metrics())
 	s.gate = &gate{
 		address:  target,
@@ -123,7 +133,7 @@
 		settings: &s.live,
 		exchange: exchange,
 		replica:  replica,
-		metrics:  m,
+		tracer:   s.tracer,
 		drain:    s.drain,
 		dial:     transport.DialTarget,
 		lanes:    map[model.TargetID]*lane{},
@@ -134,6 +144,7 @@
 		exchange: exchange,
 		replica:  replica,
 		metrics:  m,
+		tracer:   s.tracer,
 		book:     newBook(peer.Addr(), ctx.Host().Domain),
 		parts:    newParts(),
 		budgets:  newBudgets(&s.live, func() int { return len(replica.Targets().Hosts) }),
@@ -195,6 +206,7 @@
 		jsonc.Positive{Field: "retry_window", Value: float64(s.RetryWindow)},
 		jsonc.Positive{Field: "linger", Value: float64(s.Linger)},
 		jsonc.Positive{Field: "grace", Value: float64(s.Grace)},
+		jsonc.Positive{Field: "log_lines", Value: s.LogLines},
 	)
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		findings.Errorf(doc.Place("retry_ratio"), "must be from 0 to 1")
@@ -204,6 +216,12 @@
 	}
 }
 
+// Start begins to count what is not logged.
+func (s *Sidecar) Start(_ context.Context) error {
+	s.run("trace", s.tracer.run)
+	return nil
+}
+
 // Stop drains the node. It waits for the requests in flight here, since the
 // plug-ins and listeners that they need stop later.
 func (s *Sidecar) Stop(ctx context.Context) error {
@@ -217,6 +235,7 @@
 var (
 	_ kernel.Plugin    = (*Sidecar)(nil)
 	_ kernel.Validator = (*Sidecar)(nil)
+	_ kernel.Starter   = (*Sidecar)(nil)
 	_ kernel.Stopper   = (*Sidecar)(nil)
 	_ kernel.Reloader  = (*Sidecar)(nil)
 )
