Refused callers come back spread over a part of their time

Cause: all three attempts of a caller fell within a third of a second and were all refused, also while restarted targets were not listed yet, which takes up to the interval at which they renew their entries.

--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -16,6 +16,7 @@
 // entry is the role of the node that the callers on its host reach.
 type entry struct {
 	host     model.Host
+	settings *live
 	exchange model.Exchange
 	replica  model.Replica
 	metrics  *metrics
@@ -41,6 +42,8 @@
 	configuration uint64
 	began         time.Time
 	deadline      time.Time
+	// patience is how long the caller itself waits.
+	patience time.Duration
 	// onTime is until when an answer is on time.
 	onTime time.Time
 	// handed counts the targets that the request has reached.
@@ -129,8 +132,10 @@
 		refused:       map[model.TargetID]bool{},
 		failed:        map[model.TargetID]bool{},
 	}
-	if head.Remaining > 0 && head.Remaining < route.Timeout {
-		c.deadline = began.Add(head.Remaining)
+	c.patience = route.Timeout
+	if head.Remaining > 0 {
+		c.patience = head.Remaining
+		c.deadline = began.Add(min(head.Remaining, route.Timeout))
 	}
 	c.onTime = began.Add(route.Objective - e.book.elapsed(route.Name, head.Remaining))
 	return c, nil
@@ -173,14 +178,9 @@
 	if last != nil {
 		return last
 	}
-	a := refused(model.ReasonNoTarget)
-	a.RetryAfter = noTargetRetry
-	return a
+	return refused(model.ReasonNoTarget)
 }
 
-// noTargetRetry is when callers should come back to a service without targets.
-const noTargetRetry = 500 * time.Millisecond
-
 // settled judges an attempt. It returns false if the call goes to another target.
 func (e *entry) settled(ctx context.Context, c *call, t *model.Target, a *answer) bool {
 	if ctx.Err() != nil {
@@ -279,7 +279,7 @@
 	e.metrics.outcome(a.Outcome, a.status)
 	if a.status == 0 || a.Outcome != model.OutcomeRan {
 		a.Reason = e.reasonOf(c, a)
-		refusal := &model.RequestRefusal{ID: c.id, Outcome: a.Outcome, Reason: a.Reason, RetryAfter: spread(a.RetryAfter, rand.Float64())}
+		refusal := &model.RequestRefusal{ID: c.id, Outcome: a.Outcome, Reason: a.Reason, RetryAfter: e.retryAfter(c, a)}
 		status := e.refuse(w, refusal)
 		e.tracer.request(c, a, status, refusal.RetryAfter, e.replica.Revision())
 		return
@@ -300,17 +300,23 @@
 	return a.Reason
 }
 
-const (
-	leastRetryAfter = 100 * time.Millisecond
-	mostRetryAfter  = 5 * time.Second
-)
+// leastRetryAfter keeps a caller from coming back at once.
+const leastRetryAfter = 100 * time.Millisecond
 
-// spread returns when a refused caller should come back: after the time in which
-// room appears, spread over as long again, so that callers do not come at once.
-// random is from 0 to 1.
-func spread(wait time.Duration, random float64) time.Duration {
-	wait = max(wait, leastRetryAfter)
-	return min(wait+time.Duration(random*float64(wait)), mostRetryAfter)
+// retryPart is the part of a caller's time over which those that were refused
+// together come back.
+const retryPart = 0.25
+
+// retryAfter returns when a refused caller should come back: after the time in
+// which there is expected to be room, spread over a part of the caller's time, so
+// that callers neither come at once nor when it is too late.
+func (e *entry) retryAfter(c *call, a *answer) time.Duration {
+	wait := max(a.RetryAfter, leastRetryAfter)
+	if a.Reason == model.ReasonNoTarget {
+		wait = max(wait, e.settings.Load().TargetRenewal.Std()/2)
+	}
+	left := max(c.patience-time.Since(c.began), 0)
+	return wait + time.Duration(rand.Float64()*retryPart*float64(left))
 }
 
 // refuse answers a request in place of a target and returns the status.
--- a/plugins/sidecar/gate.go
+++ b/plugins/sidecar/gate.go
@@ -94,7 +94,9 @@
 func (g *gate) admit(ctx context.Context, h *handover, s *stay, header http.Header, body *message) *answer {
 	l, reason := g.lane(h)
 	if l == nil {
-		return refused(reason)
+		a := refused(reason)
+		a.Load.Leaving = reason == model.ReasonDraining
+		return a
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.Remaining)
 	a := g.runIn(ctx, l, h, s, header, body)
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -31,6 +31,7 @@
 const (
 	defaultConnectTimeout = 300 * time.Millisecond
 	defaultTargetIdle     = 3 * time.Second
+	defaultTargetRenewal  = 1500 * time.Millisecond
 	defaultRetryRatio     = 0.1
 	defaultRetryReserve   = 20
 	defaultRetryWindow    = 10 * time.Second
@@ -48,6 +49,9 @@
 	// TargetIdle is how long unused connections to the target are kept while it
 	// has not told its own idle timeout.
 	TargetIdle jsonc.Duration `json:"target_idle"`
+	// TargetRenewal is how often targets renew their entries, and so about how long
+	// a target that has restarted is not listed yet.
+	TargetRenewal jsonc.Duration `json:"target_renewal"`
 	// RetryRatio and RetryReserve bound the retries of the whole fleet in each
 	// RetryWindow: a part of the requests, and a number on top.
 	RetryRatio   float64        `json:"retry_ratio"`
@@ -89,6 +93,7 @@
 	return Settings{
 		ConnectTimeout: jsonc.Duration(defaultConnectTimeout),
 		TargetIdle:     jsonc.Duration(defaultTargetIdle),
+		TargetRenewal:  jsonc.Duration(defaultTargetRenewal),
 		RetryRatio:     defaultRetryRatio,
 		RetryReserve:   defaultRetryReserve,
 		RetryWindow:    jsonc.Duration(defaultRetryWindow),
@@ -141,6 +146,7 @@
 	}
 	s.entry = &entry{
 		host:     ctx.Host(),
+		settings: &s.live,
 		exchange: exchange,
 		replica:  replica,
 		metrics:  m,
@@ -203,6 +209,7 @@
 	doc.RequirePositive(findings,
 		jsonc.Positive{Field: "connect_timeout", Value: float64(s.ConnectTimeout)},
 		jsonc.Positive{Field: "target_idle", Value: float64(s.TargetIdle)},
+		jsonc.Positive{Field: "target_renewal", Value: float64(s.TargetRenewal)},
 		jsonc.Positive{Field: "retry_window", Value: float64(s.RetryWindow)},
 		jsonc.Positive{Field: "linger", Value: float64(s.Linger)},
 		jsonc.Positive{Field: "grace", Value: float64(s.Grace)},
