A copy that began with a list does not vouch for earlier removals

Cause: a node that had listed the store told a follower at an earlier revision what had changed since, without what was removed before the list; the follower went on using a target that was gone. Found by the property test of copies, which failed first: revision 2, the copy holds an item that the store has removed. Items that a copy has removed no longer come back with a late answer either.

--- a/plugins/replica/copy.go
+++ b/plugins/replica/copy.go
@@ -30,6 +30,10 @@
 func (c *copyOf) change(items []model.Item, revision uint64) []model.Item {
 	var news []model.Item
 	for _, item := range items {
+		// An item that is not later than the copy and is not in it was removed.
+		if _, known := c.items[item.Key]; !known && item.Revision <= c.revision {
+			continue
+		}
 		if c.put(item) {
 			news = append(news, item)
 		}
@@ -38,7 +42,8 @@
 	return news
 }
 
-// put takes in one item unless the copy has a later state of it.
+// put takes in one item unless the copy has a later state of it. It reports
+// whether the item is news; a removal is remembered in any case.
 func (c *copyOf) put(item model.Item) bool {
 	held, known := c.items[item.Key]
 	if known && held.Revision >= item.Revision {
@@ -48,24 +53,11 @@
 		c.items[item.Key] = item
 		return true
 	}
-	if c.removedSince(item) {
-		return false
-	}
 	delete(c.items, item.Key)
 	c.remember(item)
 	return known
 }
 
-// removedSince reports whether the same removal or a later one is remembered.
-func (c *copyOf) removedSince(item model.Item) bool {
-	for i := len(c.removals) - 1; i >= 0 && c.removals[i].Revision >= item.Revision; i-- {
-		if c.removals[i].Key == item.Key {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *copyOf) remember(removal model.Item) {
 	c.removals = append(c.removals, removal)
 	sort.SliceStable(c.removals, func(i, j int) bool { return c.removals[i].Revision < c.removals[j].Revision })
@@ -75,22 +67,28 @@
 	}
 }
 
-// replace takes in a whole list that was complete at a revision. Items that are
-// missing from it and not younger than it have been removed.
+// replace takes in a whole list that was complete at a revision, which is not below
+// that of the copy. Items that are missing from it and not younger than it have been
+// removed.
 func (c *copyOf) replace(items []model.Item, revision uint64) []model.Item {
+	var news []model.Item
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key] = true
+		if c.put(item) {
+			news = append(news, item)
+		}
 	}
-	changes := items
 	for key, held := range c.items {
-		if !listed[key] && held.Revision <= revision {
-			changes = append(changes, model.Item{Key: key, Revision: revision, Removed: true})
+		removal := model.Item{Key: key, Revision: revision, Removed: true}
+		if !listed[key] && held.Revision <= revision && c.put(removal) {
+			news = append(news, removal)
 		}
 	}
-	// The list tells nothing of removals before it that this copy never saw.
-	c.forgotten = max(c.forgotten, c.revision)
-	return c.change(changes, revision)
+	c.revision = max(c.revision, revision)
+	// The list does not tell what was removed before it.
+	c.forgotten = max(c.forgotten, revision)
+	return news
 }
 
 // since returns all that has changed after a revision. complete is set when the
