--- a/plugins/distribution/delta/compress.go
+++ b/internal/zdelta/zdelta.go
@@ -1,6 +1,6 @@
-// Package delta encodes releases and host lists as compressed differences from
-// an earlier revision, or whole when there is none.
-package delta
+// Package zdelta compresses data as a difference from other data that the receiver
+// has, or whole when there is none.
+package zdelta
 
 import (
 	"bytes"
@@ -23,9 +23,9 @@
 // frameMagic starts each frame of the library and is not sent.
 var frameMagic = []byte{0x28, 0xb5, 0x2f, 0xfd}
 
-// compress returns data compressed with a raw dictionary, which may be empty.
+// Compress returns data compressed with a raw dictionary, which may be empty.
 // The result depends on its arguments alone.
-func compress(data, dictionary []byte) ([]byte, error) {
+func Compress(data, dictionary []byte) ([]byte, error) {
 	if len(data) == 0 {
 		return nil, nil
 	}
@@ -47,8 +47,8 @@
 	return bytes.TrimPrefix(encoder.EncodeAll(data, nil), frameMagic), nil
 }
 
-// expand undoes compress. It fails if the result is longer than limit.
-func expand(data, dictionary []byte, limit int) ([]byte, error) {
+// Expand undoes Compress. It fails if the result is longer than limit.
+func Expand(data, dictionary []byte, limit int) ([]byte, error) {
 	if len(data) == 0 {
 		return nil, nil
 	}
--- a/plugins/distribution/delta/hosts.go
+++ b/plugins/distribution/delta/hosts.go
@@ -1,3 +1,5 @@
+// Package delta encodes releases and host lists as compressed differences from
+// an earlier revision, or whole when there is none.
 package delta
 
 import (
@@ -5,6 +7,7 @@
 
 	"github.com/bronzemast/bronzemast/config"
 	"github.com/bronzemast/bronzemast/internal/strictcbor"
+	"github.com/bronzemast/bronzemast/internal/zdelta"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -66,12 +69,12 @@
 
 // EncodeHosts returns target as a difference from base, or whole if base is nil.
 func EncodeHosts(base, target *Hosts) ([]byte, error) {
-	return compress(target.Raw, hostsRaw(base))
+	return zdelta.Compress(target.Raw, hostsRaw(base))
 }
 
 // DecodeHosts undoes EncodeHosts.
 func DecodeHosts(base *Hosts, data []byte) (*Hosts, error) {
-	raw, err := expand(data, hostsRaw(base), MaxHostsBytes)
+	raw, err := zdelta.Expand(data, hostsRaw(base), MaxHostsBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "host list")
 	}
--- a/plugins/distribution/delta/release.go
+++ b/plugins/distribution/delta/release.go
@@ -5,6 +5,7 @@
 
 	"github.com/bronzemast/bronzemast/config"
 	"github.com/bronzemast/bronzemast/internal/strictcbor"
+	"github.com/bronzemast/bronzemast/internal/zdelta"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -68,7 +69,7 @@
 	if p.Added, err = encodeNames(c.added); err != nil {
 		return nil, err
 	}
-	if p.Contents, err = compress(c.contents, dictionaryOf(base, c.changed)); err != nil {
+	if p.Contents, err = zdelta.Compress(c.contents, dictionaryOf(base, c.changed)); err != nil {
 		return nil, err
 	}
 	data, err := hostsEncoding.Marshal(p)
@@ -122,7 +123,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode names of parts")
 	}
-	return compress(data, nil)
+	return zdelta.Compress(data, nil)
 }
 
 // DecodeRelease undoes EncodeRelease. It verifies all digests.
@@ -179,7 +180,7 @@
 			return nil, errors.Errorf("release: the base has no part %d", i)
 		}
 	}
-	contents, err := expand(p.Contents, dictionaryOf(base, p.Changed), total)
+	contents, err := zdelta.Expand(p.Contents, dictionaryOf(base, p.Changed), total)
 	if err != nil {
 		return nil, errors.Wrap(err, "parts")
 	}
@@ -227,7 +228,7 @@
 func (b *builder) add(encoded []byte, contents [][]byte) error {
 	var names []partName
 	if len(encoded) > 0 {
-		list, err := expand(encoded, nil, config.MaxRecordBytes)
+		list, err := zdelta.Expand(encoded, nil, config.MaxRecordBytes)
 		if err != nil {
 			return errors.Wrap(err, "names of parts")
 		}
--- a/plugins/replica/copy.go
+++ b/plugins/replica/copy.go
@@ -19,10 +19,21 @@
 	// forgotten the revision up to which removals are no longer remembered.
 	removals  []model.Item
 	forgotten uint64
+	// earlier holds the last states of each large item, oldest first. Peers get
+	// later ones as a difference from them.
+	earlier map[string][]model.Item
 }
 
+const (
+	// largeBytes is the size from which an item is sent as a difference.
+	largeBytes = 2 << 10
+	// maxEarlier bounds the earlier states of one item. A peer whose state is older
+	// gets the item whole.
+	maxEarlier = 4
+)
+
 func newCopy() *copyOf {
-	return &copyOf{items: map[string]model.Item{}}
+	return &copyOf{items: map[string]model.Item{}, earlier: map[string][]model.Item{}}
 }
 
 // change takes in the changes up to a revision. It returns the items that are
@@ -49,6 +60,7 @@
 	if known && held.Revision >= item.Revision {
 		return false
 	}
+	c.keepEarlier(held)
 	if !item.Removed {
 		c.items[item.Key] = item
 		return true
@@ -58,6 +70,27 @@
 	return known
 }
 
+// keepEarlier remembers the state of an item that is about to change.
+func (c *copyOf) keepEarlier(held model.Item) {
+	if len(held.Data) < largeBytes {
+		return
+	}
+	states := append(c.earlier[held.Key], held)
+	c.earlier[held.Key] = states[max(len(states)-maxEarlier, 0):]
+}
+
+// base returns the state of an item that a peer at a revision has, if the copy
+// remembers it.
+func (c *copyOf) base(key string, after uint64) (model.Item, bool) {
+	states := c.earlier[key]
+	for i := len(states) - 1; i >= 0; i-- {
+		if states[i].Revision <= after {
+			return states[i], true
+		}
+	}
+	return model.Item{}, false
+}
+
 func (c *copyOf) remember(removal model.Item) {
 	c.removals = append(c.removals, removal)
 	sort.SliceStable(c.removals, func(i, j int) bool { return c.removals[i].Revision < c.removals[j].Revision })
--- a/plugins/replica/follow.go
+++ b/plugins/replica/follow.go
@@ -130,6 +130,11 @@
 		r.peerFailed(peer, err)
 		return
 	}
+	items, err := r.unpackAll(answer.Items)
+	if err != nil {
+		r.peerFailed(peer, err)
+		return
+	}
 	now := time.Now()
 	r.mu.Lock()
 	r.peerFailures = 0
@@ -138,7 +143,7 @@
 	}
 	r.mu.Unlock()
 	r.take(update{
-		items:     answer.Items,
+		items:     items,
 		revision:  answer.Revision,
 		complete:  answer.Complete,
 		confirmed: now.Add(-answer.Age),
@@ -146,6 +151,25 @@
 	})
 }
 
+// unpackAll undoes the compression of a peer's items.
+func (r *Replica) unpackAll(packed []peerItem) ([]model.Item, error) {
+	items := make([]model.Item, len(packed))
+	for i, p := range packed {
+		var err error
+		if items[i], err = unpack(p, r.held); err != nil {
+			return nil, err
+		}
+	}
+	return items, nil
+}
+
+// held returns the state that the node has of an item.
+func (r *Replica) held(key string) model.Item {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.copy.items[key]
+}
+
 func (r *Replica) peerFailed(peer string, err error) {
 	r.mu.Lock()
 	r.peerFailures++
--- a/plugins/replica/peer.go
+++ b/plugins/replica/peer.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/internal/strictcbor"
-	"github.com/bronzemast/bronzemast/model"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -38,7 +37,7 @@
 	Age time.Duration
 	// SinceFault is the time since the store was last away; 0 if it never was.
 	SinceFault time.Duration
-	Items      []model.Item
+	Items      []peerItem
 }
 
 var peerDecoding = strictcbor.Decoding(cbor.DecOptions{MaxNestedLevels: 6, MaxArrayElements: 1 << 20})
@@ -156,18 +155,36 @@
 
 // answerSince returns what a peer lacks, nil if the node holds nothing.
 func (r *Replica) answerSince(after uint64) *peerAnswer {
+	answer, lacking := r.lacking(after)
+	for _, x := range lacking {
+		answer.Items = append(answer.Items, r.packer.pack(x))
+	}
+	return answer
+}
+
+// lacking returns an answer without items, and the items for it.
+func (r *Replica) lacking(after uint64) (*peerAnswer, []packing) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.copy.revision == 0 {
-		return nil
+		return nil, nil
 	}
 	now := time.Now()
 	answer := &peerAnswer{Revision: r.copy.revision, Age: now.Sub(r.confirmed)}
 	if !r.regained.IsZero() {
 		answer.SinceFault = now.Sub(r.regained)
 	}
-	if after < r.copy.revision {
-		answer.Items, answer.Complete = r.copy.since(after)
+	if after >= r.copy.revision {
+		return answer, nil
 	}
-	return answer
+	items, complete := r.copy.since(after)
+	answer.Complete = complete
+	lacking := make([]packing, len(items))
+	for i, item := range items {
+		lacking[i].item = item
+		if base, ok := r.copy.base(item.Key, after); ok && !complete {
+			lacking[i].base = base
+		}
+	}
+	return answer, lacking
 }
--- a/plugins/replica/setup.go
+++ b/plugins/replica/setup.go
@@ -70,6 +70,7 @@
 	store    model.Store
 	decoder  model.ItemDecoder
 	client   *peerClient
+	packer   packer
 	self     netip.Addr
 	domain   string
 	peerPort uint16
--- a/plugins/sidecar/book.go
+++ b/plugins/sidecar/book.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzemast/bronzemast/config/ingress"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/placement"
 )
@@ -36,6 +37,10 @@
 	awayUntil time.Time
 	awayFor   time.Duration
 	coldUntil time.Time
+	// fullUntil is when the target may have room again for requests of the rank
+	// fullRank and later ones.
+	fullUntil time.Time
+	fullRank  int
 }
 
 // routeRecord is what the node knows of one route.
@@ -131,13 +136,35 @@
 	return b.route(route).nested
 }
 
+// work returns the mean run time of a route, a part of the objective while there is
+// no experience. The caller holds mu.
+func (b *book) work(route string, objective time.Duration) time.Duration {
+	if work := b.route(route).work; work > 0 {
+		return work
+	}
+	return objective / 3
+}
+
+// turnover is the time within which a busy target is expected to end a few runs.
+// The caller holds mu.
+func (b *book) turnover(t *model.Target, route *ingress.Route) time.Duration {
+	return turnoverRuns * b.work(route.Name, route.Objective) / time.Duration(max(t.Slots, 1))
+}
+
+// turnoverRuns is the number of runs after whose end a full target is asked again.
+const turnoverRuns = 2
+
+// full reports whether a target is known to refuse requests of a rank. Calls of
+// targets go before all others, so nothing is known of them.
+func (b *book) full(t *model.Target, c *call, now time.Time) bool {
+	r := b.target(t, now)
+	return now.Before(r.fullUntil) && c.route.Rank >= r.fullRank && !b.route(c.route.Name).nested
+}
+
 // candidate describes a target to the placement of a request.
 func (b *book) candidate(t *model.Target, route string, objective, onTime time.Duration, now time.Time) placement.Candidate {
 	r := b.target(t, now)
-	work := b.route(route).work
-	if work == 0 {
-		work = objective / 3
-	}
+	work := b.work(route, objective)
 	slow := 1 + (r.load.Slow-1)*halved(now.Sub(r.at), paceHalfLife)
 	if r.load.Slow == 0 {
 		slow = 1
@@ -175,7 +202,8 @@
 }
 
 // ended takes in how an attempt ended.
-func (b *book) ended(t *model.Target, route string, a *answer, took time.Duration, now time.Time) {
+func (b *book) ended(t *model.Target, c *call, a *answer, took time.Duration, now time.Time) {
+	route := c.route.Name
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.target(t, now)
@@ -191,6 +219,9 @@
 		r.putOff(now)
 	}
 	r.load, r.at, r.sent = a.Load, now, 0
+	if a.FullFor > 0 {
+		r.fullUntil, r.fullRank = now.Add(min(a.FullFor, b.turnover(t, c.route))), c.route.Rank
+	}
 	b.route(route).nested = a.Nested
 	if a.Outcome == model.OutcomeRan && !a.Failed {
 		b.learnWork(r, route, a.Worked)
--- a/plugins/sidecar/choice.go
+++ b/plugins/sidecar/choice.go
@@ -20,6 +20,9 @@
 	// otherFree is set when another target seems to have a free slot and is hardly
 	// worse.
 	otherFree bool
+	// fullFor is how long all targets are known to be full; the call is refused
+	// then without asking any of them.
+	fullFor time.Duration
 }
 
 // choose returns the best of the targets that may get a call.
@@ -31,12 +34,17 @@
 	if onTime <= 0 {
 		onTime = c.route.Objective
 	}
+	var fullFor time.Duration
 	var left []*model.Target
 	var candidates []placement.Candidate
 	for _, t := range targets {
 		if t.Leaving || c.failed[t.ID] {
 			continue
 		}
+		if b.full(t, c, now) {
+			fullFor = b.target(t, now).load.Wait
+			continue
+		}
 		candidate := b.candidate(t, c.route.Name, c.route.Objective, onTime, now)
 		candidate.Refused = c.refused[t.ID]
 		left = append(left, t)
@@ -44,7 +52,7 @@
 	}
 	i := placement.Choose(candidates, random)
 	if i < 0 {
-		return choice{}
+		return choice{fullFor: fullFor}
 	}
 	return choice{
 		target:    left[i],
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -160,7 +160,7 @@
 	for {
 		chosen, patient := e.choose(c)
 		if chosen.target == nil {
-			return withoutTarget(last)
+			return withoutTarget(last, chosen.fullFor)
 		}
 		if last != nil {
 			last.close()
@@ -174,11 +174,17 @@
 }
 
 // withoutTarget is the end of a call for which there is no further target.
-func withoutTarget(last *answer) *answer {
+// fullFor is how long all targets are known to be full, 0 if that is not why.
+func withoutTarget(last *answer, fullFor time.Duration) *answer {
 	if last != nil {
 		return last
 	}
-	return refused(model.ReasonNoTarget)
+	if fullFor <= 0 {
+		return refused(model.ReasonNoTarget)
+	}
+	a := refused(model.ReasonOverloaded)
+	a.RetryAfter = fullFor
+	return a
 }
 
 // settled judges an attempt. It returns false if the call goes to another target.
@@ -252,7 +258,7 @@
 	e.book.sent(t, began)
 	a := e.sender.send(ctx, t, h, c)
 	now := time.Now()
-	e.book.ended(t, c.route.Name, a, now.Sub(began), now)
+	e.book.ended(t, c, a, now.Sub(began), now)
 	if a.Handed {
 		c.handed++
 	}
--- a/plugins/sidecar/gate.go
+++ b/plugins/sidecar/gate.go
@@ -132,6 +132,7 @@
 	if !started {
 		a := refused(model.ReasonOverloaded)
 		a.RetryAfter = retryAfter
+		a.FullFor = max(retryAfter-s.startWithin, 0)
 		if ctx.Err() != nil {
 			a.Reason = model.ReasonCanceled
 		}
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -68,8 +68,10 @@
 	Worked     time.Duration
 	Held       time.Duration
 	RetryAfter time.Duration
-	Load       load
-	Revision   uint64
+	// FullFor is how long a request like the refused one will be refused.
+	FullFor  time.Duration
+	Load     load
+	Revision uint64
 }
 
 // load is the state of a target as the node beside it sees it.
--- a/plugins/sidecar/lane.go
+++ b/plugins/sidecar/lane.go
@@ -162,13 +162,14 @@
 func (l *lane) ended(route string, worked time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	usual := time.Duration(float64(worked) / l.slow)
 	mean, known := l.work[route]
 	if !known {
-		l.work[route] = time.Duration(float64(worked) / l.slow)
+		l.work[route] = usual
 		return
 	}
 	l.pace(float64(worked) / float64(max(mean, time.Millisecond)))
-	l.work[route] = mean + time.Duration(workWeight*(float64(worked)/l.slow-float64(mean)))
+	l.work[route] = mean + time.Duration(workWeight*float64(usual-mean))
 }
 
 // unfinished takes in a run that was broken off after a time. It tells something
