--- a/plugins/replica/follow.go
+++ b/plugins/replica/follow.go
@@ -49,11 +49,12 @@
 	if ctx.Err() != nil {
 		return
 	}
+	pause := r.settings.StorePause.Std()
 	if err == nil {
 		r.storeAnswered()
-		return
+	} else {
+		pause = r.storeFailed(err)
 	}
-	pause := r.storeFailed(err)
 	_ = clock.Sleep(ctx, pause) // the loop ends with ctx
 }
 
--- a/plugins/replica/setup.go
+++ b/plugins/replica/setup.go
@@ -33,11 +33,13 @@
 
 const (
 	// A silent watch of the store is found within defaultStoreWait and a second.
-	defaultStoreWait = 1500 * time.Millisecond
+	defaultStoreWait = time.Second
 	defaultPeerWait  = 600 * time.Millisecond
 	// defaultStaleAfter is a little over the age that a reader's copy reaches
 	// while its watch waits.
 	defaultStaleAfter = 2200 * time.Millisecond
+	// defaultStorePause gathers changes that come together.
+	defaultStorePause = 100 * time.Millisecond
 	// defaultReturnGrace is the time within which targets that live renew their
 	// entries after the store was away.
 	defaultReturnGrace = 2500 * time.Millisecond
@@ -49,6 +51,8 @@
 type Settings struct {
 	// StoreWait is how long a watch of the store waits for a change.
 	StoreWait jsonc.Duration `json:"store_wait"`
+	// StorePause is the time between two watches of the store.
+	StorePause jsonc.Duration `json:"store_pause"`
 	// PeerWait is how long a watch of another node's copy waits.
 	PeerWait jsonc.Duration `json:"peer_wait"`
 	// StaleAfter is the age of the copy from which a node reads the store itself.
@@ -100,6 +104,7 @@
 	r := &Replica{
 		settings: Settings{
 			StoreWait:           jsonc.Duration(defaultStoreWait),
+			StorePause:          jsonc.Duration(defaultStorePause),
 			PeerWait:            jsonc.Duration(defaultPeerWait),
 			StaleAfter:          jsonc.Duration(defaultStaleAfter),
 			ReturnGrace:         jsonc.Duration(defaultReturnGrace),
@@ -165,6 +170,7 @@
 func (r *Replica) Validate(findings *finding.List) {
 	r.doc.RequirePositive(findings,
 		jsonc.Positive{Field: "store_wait", Value: float64(r.settings.StoreWait)},
+		jsonc.Positive{Field: "store_pause", Value: float64(r.settings.StorePause)},
 		jsonc.Positive{Field: "peer_wait", Value: float64(r.settings.PeerWait)},
 		jsonc.Positive{Field: "stale_after", Value: float64(r.settings.StaleAfter)},
 		jsonc.Positive{Field: "return_grace", Value: float64(r.settings.ReturnGrace)},
