--- a/cmd/bronzemast-node/main.go
+++ b/cmd/bronzemast-node/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/bronzemast/bronzemast"
@@ -21,7 +22,10 @@
 	Settings string `long:"settings" env:"BRONZEMAST_SETTINGS" required:"true" description:"settings file, JSON with comments"`
 	Check    bool   `long:"check" description:"check the settings and leave"`
 	LogLevel string `long:"log-level" env:"BRONZEMAST_LOG_LEVEL" description:"overrides log.level of the settings"`
-	HostID   string `long:"host-id" env:"BRONZEMAST_HOST_ID" description:"overrides host.id of the settings"`
+	// GCPercent is how much the heap may grow between two collections, in percent;
+	// 0 leaves it to the runtime.
+	GCPercent int    `long:"gc-percent" env:"BRONZEMAST_GC_PERCENT" description:"heap growth between two garbage collections, in percent; less saves memory and costs processor time"`
+	HostID    string `long:"host-id" env:"BRONZEMAST_HOST_ID" description:"overrides host.id of the settings"`
 }
 
 func main() {
@@ -43,6 +47,9 @@
 	if err != nil {
 		return err
 	}
+	if opts.GCPercent > 0 {
+		debug.SetGCPercent(opts.GCPercent)
+	}
 	out := logpipe.New(os.Stdout)
 	defer out.Close()
 	log, err := kernel.NewEventLog(settings, out)
--- a/plugins/replica/follow.go
+++ b/plugins/replica/follow.go
@@ -24,6 +24,7 @@
 			continue
 		}
 		r.ask(ctx, netip.AddrPortFrom(host, r.peerPort).String(), r.settings.PeerWait.Std())
+		_ = clock.Sleep(ctx, r.settings.PeerPause.Std()) // the loop ends with ctx
 	}
 }
 
--- a/plugins/replica/setup.go
+++ b/plugins/replica/setup.go
@@ -35,9 +35,12 @@
 	// A silent watch of the store is found within defaultStoreWait and a second.
 	defaultStoreWait = time.Second
 	defaultPeerWait  = 600 * time.Millisecond
-	// defaultStaleAfter is a little over the age that a reader's copy reaches
-	// while its watch waits.
-	defaultStaleAfter = 2200 * time.Millisecond
+	// defaultPeerPause bounds what the followers of a reader ask of it while
+	// changes come one after the other.
+	defaultPeerPause = 400 * time.Millisecond
+	// defaultStaleAfter is a little over the age that a follower's copy reaches
+	// while its reader's watch and its own wait.
+	defaultStaleAfter = 2500 * time.Millisecond
 	// defaultStorePause gathers changes that come together.
 	defaultStorePause = 100 * time.Millisecond
 	// defaultReturnGrace is the time within which targets that live renew their
@@ -55,6 +58,8 @@
 	StorePause jsonc.Duration `json:"store_pause"`
 	// PeerWait is how long a watch of another node's copy waits.
 	PeerWait jsonc.Duration `json:"peer_wait"`
+	// PeerPause is the time between two watches of another node's copy.
+	PeerPause jsonc.Duration `json:"peer_pause"`
 	// StaleAfter is the age of the copy from which a node reads the store itself.
 	StaleAfter jsonc.Duration `json:"stale_after"`
 	// ReturnGrace is how long after an outage of the store entries that lapsed
@@ -106,6 +111,7 @@
 			StoreWait:           jsonc.Duration(defaultStoreWait),
 			StorePause:          jsonc.Duration(defaultStorePause),
 			PeerWait:            jsonc.Duration(defaultPeerWait),
+			PeerPause:           jsonc.Duration(defaultPeerPause),
 			StaleAfter:          jsonc.Duration(defaultStaleAfter),
 			ReturnGrace:         jsonc.Duration(defaultReturnGrace),
 			StoreReadsPerSecond: defaultReads,
@@ -172,6 +178,7 @@
 		jsonc.Positive{Field: "store_wait", Value: float64(r.settings.StoreWait)},
 		jsonc.Positive{Field: "store_pause", Value: float64(r.settings.StorePause)},
 		jsonc.Positive{Field: "peer_wait", Value: float64(r.settings.PeerWait)},
+		jsonc.Positive{Field: "peer_pause", Value: float64(r.settings.PeerPause)},
 		jsonc.Positive{Field: "stale_after", Value: float64(r.settings.StaleAfter)},
 		jsonc.Positive{Field: "return_grace", Value: float64(r.settings.ReturnGrace)},
 		jsonc.Positive{Field: "store_reads_per_second", Value: r.settings.StoreReadsPerSecond},
--- a/plugins/sidecar/sender.go
+++ b/plugins/sidecar/sender.go
@@ -18,7 +18,7 @@
 	maxIdleToPeer = 32
 	// peerIdle is how long an unused connection to a node is kept. Nodes close
 	// them only after the idle timeout of their transport, which is longer.
-	peerIdle = 20 * time.Second
+	peerIdle = 5 * time.Second
 )
 
 // sender hands requests to the nodes beside their targets.
