Nodes that do not answer are found by asking; one failure or one late answer is no lasting reason to avoid a target

Cause: a request to a paused or cut node waited until its deadline, since an open connection does not tell. After twice the expected time the node is asked over a new connection; a request that may run again then goes elsewhere, within the budget.

--- a/plugins/sidecar/book.go
+++ b/plugins/sidecar/book.go
@@ -29,9 +29,11 @@
 	at       time.Time
 	sent     int
 	inFlight int
-	// pace is the target's usual run time relative to the mean of all targets.
+	// pace is the target's usual run time relative to the mean of all targets, and
+	// distance the time for the way there and back, as of learntAt.
 	pace     float64
 	distance time.Duration
+	learntAt time.Time
 	// awayUntil is when the target may be tried again after its node did not
 	// answer, and awayFor how long it was put off.
 	awayUntil time.Time
@@ -58,12 +60,12 @@
 const (
 	// paceWeight is the weight of the newest run in the usual pace of a target.
 	paceWeight = 0.1
-	// loadHalfLife, paceHalfLife and failHalfLife are the times after which half
-	// of what a target told is forgotten, so that one that has become well gets
-	// requests again.
-	loadHalfLife = time.Second
-	paceHalfLife = 3 * time.Second
-	failHalfLife = 2 * time.Second
+	// The half-lives are the times after which half of what was learnt of a target
+	// is forgotten, so that one that has become well gets requests again.
+	loadHalfLife  = time.Second
+	slowHalfLife  = 3 * time.Second
+	failHalfLife  = 5 * time.Second
+	usualHalfLife = 10 * time.Second
 	// coldPace is the pace of a target that has just started.
 	coldPace = 2
 	// firstDistance is the way to a target that has not answered yet.
@@ -98,7 +100,7 @@
 func (b *book) target(t *model.Target, now time.Time) *record {
 	r := b.targets[t.ID]
 	if r == nil {
-		r = &record{pace: 1, coldUntil: now.Add(t.Cold), distance: firstDistance}
+		r = &record{pace: 1, learntAt: now, coldUntil: now.Add(t.Cold), distance: firstDistance}
 		if t.Address.Addr() == b.self {
 			r.distance = 0
 		}
@@ -165,11 +167,12 @@
 func (b *book) candidate(t *model.Target, route string, objective, onTime time.Duration, now time.Time) placement.Candidate {
 	r := b.target(t, now)
 	work := b.work(route, objective)
-	slow := 1 + (r.load.Slow-1)*halved(now.Sub(r.at), paceHalfLife)
+	slow := 1 + (r.load.Slow-1)*halved(now.Sub(r.at), slowHalfLife)
 	if r.load.Slow == 0 {
 		slow = 1
 	}
-	pace := r.pace * slow
+	usual := halved(now.Sub(r.learntAt), usualHalfLife)
+	pace := (1 + (r.pace-1)*usual) * slow
 	if now.Before(r.coldUntil) {
 		pace = max(pace, coldPace)
 	}
@@ -179,7 +182,7 @@
 		Slots:    t.Slots,
 		Work:     time.Duration(float64(work) * pace),
 		OnTime:   onTime,
-		Distance: r.distance,
+		Distance: time.Duration(float64(r.distance) * usual),
 		Remote:   t.Domain != b.domain,
 		Failing:  r.load.Failing * halved(now.Sub(r.at), failHalfLife),
 		Away:     now.Before(r.awayUntil) || r.load.Leaving && now.Sub(r.at) < leavingPause,
@@ -226,11 +229,19 @@
 	if a.Outcome == model.OutcomeRan && !a.Failed {
 		b.learnWork(r, route, a.Worked)
 	}
+	r.learntAt = now
 	if rest := took - a.Held; a.Held > 0 && rest > 0 && t.Address.Addr() != b.self {
-		r.distance += time.Duration(distanceWeight * float64(rest-r.distance))
+		r.learnDistance(rest)
 	}
 }
 
+// learnDistance takes in the time that an answer was on its way. One that was held
+// up, as by a paused process, counts for little more than usual.
+func (r *record) learnDistance(rest time.Duration) {
+	rest = min(rest, surprise*max(r.distance, firstDistance))
+	r.distance += time.Duration(distanceWeight * float64(rest-r.distance))
+}
+
 // learnWork takes in a run: the usual pace of the target, and the mean of the route
 // over all targets. What the target's node tells of the present is left out.
 func (b *book) learnWork(r *record, route string, worked time.Duration) {
@@ -246,6 +257,14 @@
 // leastPace keeps one run that ended at once from making a target look idle.
 const leastPace = 0.1
 
+// away keeps requests from a target whose node does not answer.
+func (b *book) away(t *model.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.target(t, now).putOff(now)
+}
+
 // putOff keeps requests from a target that did not answer, longer each time.
 func (r *record) putOff(now time.Time) {
 	r.awayFor = min(max(2*r.awayFor, firstAway), longestAway)
--- /dev/null
+++ b/plugins/sidecar/book_test.go
@@ -0,0 +1,157 @@
+package sidecar
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzemast/bronzemast/config/ingress"
+	"github.com/bronzemast/bronzemast/model"
+)
+
+var (
+	begin    = time.Unix(1_000_000, 0)
+	bookCall = &call{
+		route:   &ingress.Route{Name: "r", Objective: 600 * time.Millisecond, Timeout: 2 * time.Second},
+		onTime:  begin.Add(600 * time.Millisecond),
+		refused: map[model.TargetID]bool{},
+		failed:  map[model.TargetID]bool{},
+	}
+)
+
+// targetAt returns a target on a host of its own.
+func targetAt(n byte) *model.Target {
+	return &model.Target{
+		ID: model.TargetID([]byte{'i', '-', '0' + n}), Service: "alpha", Domain: "d", Slots: 10,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80),
+	}
+}
+
+func newTestBook() *book {
+	return newBook(netip.MustParseAddr("10.0.0.99"), "d")
+}
+
+// answered returns the end of a good run.
+func answered(worked time.Duration) *answer {
+	return &answer{status: 200, result: result{
+		Version: handoverVersion, Outcome: model.OutcomeRan, Handed: true, Worked: worked, Held: worked,
+		Load: load{Running: 1, Slots: 10, Slow: 1},
+	}}
+}
+
+// teach lets both targets answer some requests, each in its time and on its way.
+func (b *book) teach(t *model.Target, worked, way time.Duration, now time.Time) {
+	for range 20 {
+		b.sent(t, now)
+		b.ended(t, bookCall, answered(worked), worked+way, now)
+	}
+}
+
+// chosen returns how many of 100 requests go to each target.
+func (b *book) chosen(now time.Time, targets ...*model.Target) map[model.TargetID]int {
+	counts := map[model.TargetID]int{}
+	for i := range 100 {
+		if found := b.choose(bookCall, targets, float64(i)/100, now); found.target != nil {
+			counts[found.target.ID]++
+		}
+	}
+	return counts
+}
+
+func TestATargetWhoseAnswerWasHeldUpOnceGetsRequestsAgain(t *testing.T) {
+	g := NewWithT(t)
+	b := newTestBook()
+	held, other := targetAt(1), targetAt(2)
+	b.teach(held, 100*time.Millisecond, time.Millisecond, begin)
+	b.teach(other, 100*time.Millisecond, time.Millisecond, begin)
+	b.sent(held, begin)
+	b.ended(held, bookCall, answered(100*time.Millisecond), 10*time.Second, begin)
+	g.Expect(b.chosen(begin.Add(time.Minute), held, other)[held.ID]).To(BeNumerically(">=", 40))
+}
+
+func TestASlowTargetIsAvoidedAndTriedAgainLater(t *testing.T) {
+	g := NewWithT(t)
+	b := newTestBook()
+	slow, other := targetAt(1), targetAt(2)
+	b.teach(other, 100*time.Millisecond, time.Millisecond, begin)
+	b.teach(slow, 100*time.Millisecond, time.Millisecond, begin)
+	a := answered(time.Second)
+	a.Load.Slow = 10
+	b.sent(slow, begin)
+	b.ended(slow, bookCall, a, time.Second, begin)
+	g.Expect(b.chosen(begin, slow, other)[slow.ID]).To(BeZero())
+	g.Expect(b.chosen(begin.Add(time.Minute), slow, other)[slow.ID]).To(BeNumerically(">", 0))
+}
+
+func TestATargetThatDoesNotAnswerIsPutOffForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	b := newTestBook()
+	away, other := targetAt(1), targetAt(2)
+	b.sent(away, begin)
+	b.ended(away, bookCall, refused(model.ReasonUnreachable), 0, begin)
+	g.Expect(b.chosen(begin, away, other)[away.ID]).To(BeZero())
+	g.Expect(b.chosen(begin, away)[away.ID]).To(Equal(100), "there is no other one")
+	g.Expect(b.chosen(begin.Add(firstAway), away, other)[away.ID]).To(BeNumerically(">", 0))
+}
+
+func TestAFullTargetIsNotAskedAgainAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	b := newTestBook()
+	full := targetAt(1)
+	b.teach(full, 100*time.Millisecond, time.Millisecond, begin)
+	a := refused(model.ReasonOverloaded)
+	a.Version, a.FullFor, a.Load = handoverVersion, time.Second, load{Running: 10, Slots: 10, Slow: 1, Wait: 40 * time.Millisecond}
+	b.sent(full, begin)
+	b.ended(full, bookCall, a, time.Millisecond, begin)
+	found := b.choose(bookCall, []*model.Target{full}, 0, begin)
+	g.Expect(found.target).To(BeNil())
+	g.Expect(found.fullFor).To(Equal(40 * time.Millisecond))
+	found = b.choose(bookCall, []*model.Target{full}, 0, begin.Add(20*time.Millisecond))
+	g.Expect(found.target).NotTo(BeNil(), "two runs end in that time")
+	urgent := *bookCall
+	urgent.route = &ingress.Route{Name: "urgent", Rank: -1, Objective: time.Second}
+	g.Expect(b.choose(&urgent, []*model.Target{full}, 0, begin).target).NotTo(BeNil(), "a lower rank was refused")
+}
+
+func TestLeavingAndFailedTargetsAreNotChosen(t *testing.T) {
+	g := NewWithT(t)
+	b := newTestBook()
+	leaving, failed, left := targetAt(1), targetAt(2), targetAt(3)
+	leaving.Leaving = true
+	c := *bookCall
+	c.failed = map[model.TargetID]bool{failed.ID: true}
+	for i := range 10 {
+		g.Expect(b.choose(&c, []*model.Target{leaving, failed, left}, float64(i)/10, begin).target).To(Equal(left))
+	}
+	g.Expect(b.choose(&c, []*model.Target{leaving, failed}, 0, begin).target).To(BeNil())
+}
+
+func TestTheTimeSinceTheFirstAttemptIsLearnt(t *testing.T) {
+	g := NewWithT(t)
+	b := newTestBook()
+	g.Expect(b.elapsed("r", 4*time.Second)).To(BeZero())
+	g.Expect(b.elapsed("r", 3*time.Second)).To(Equal(time.Second))
+	g.Expect(b.elapsed("r", 0)).To(BeZero(), "the caller does not say")
+}
+
+func TestOneFailureDoesNotMakeATargetAvoided(t *testing.T) {
+	g := NewWithT(t)
+	l := newLane("i-1", 10, nil)
+	for range 20 {
+		l.failed(false)
+	}
+	l.failed(true)
+	b := newTestBook()
+	failedOnce, other := targetAt(1), targetAt(2)
+	for _, target := range []*model.Target{failedOnce, other} {
+		b.teach(target, 100*time.Millisecond, time.Millisecond, begin)
+	}
+	a := answered(100 * time.Millisecond)
+	a.Load.Failing = l.load().Failing
+	g.Expect(a.Load.Failing).To(BeNumerically(">", 0))
+	b.sent(failedOnce, begin)
+	b.ended(failedOnce, bookCall, a, 101*time.Millisecond, begin)
+	g.Expect(b.chosen(begin, failedOnce, other)[failedOnce.ID]).To(BeNumerically(">=", 40))
+}
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -256,7 +256,7 @@
 		Revision:      e.replica.Revision(),
 	}
 	e.book.sent(t, began)
-	a := e.sender.send(ctx, t, h, c)
+	a := e.sender.send(ctx, t, h, c, chosen.candidate.Expected())
 	now := time.Now()
 	e.book.ended(t, c, a, now.Sub(began), now)
 	if a.Handed {
--- a/plugins/sidecar/gate.go
+++ b/plugins/sidecar/gate.go
@@ -270,6 +270,9 @@
 func (g *gate) unanswered(ctx context.Context, l *lane, h *handover, err error) *answer {
 	var failure *httpconn.Error
 	if errors.As(err, &failure) && !failure.Sent {
+		if ctx.Err() != nil {
+			return refused(model.ReasonCanceled)
+		}
 		l.failed(true)
 		a := refused(model.ReasonUnreachable)
 		a.Failed = true
--- a/plugins/sidecar/lane.go
+++ b/plugins/sidecar/lane.go
@@ -200,7 +200,7 @@
 func (l *lane) failed(failed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fails.add(failed, failWeight)
+	l.fails.add(failed, time.Now())
 }
 
 // load returns the state of the target.
@@ -212,7 +212,7 @@
 		Waiting: l.queue.Waiting(),
 		Slots:   l.queue.Limit(),
 		Wait:    l.queue.ExpectedWait(time.Now()),
-		Failing: l.fails.value,
+		Failing: l.fails.at(time.Now()),
 		Slow:    l.slow,
 	}
 }
@@ -222,15 +222,24 @@
 	l.pool.Close()
 }
 
-// average is an exponential mean of events that happen or not.
+// average is an exponential mean of events that happen or not. It fades with time,
+// so that a target that gets few requests is not judged by old ones.
 type average struct {
 	value float64
+	since time.Time
 }
 
-func (a *average) add(happened bool, weight float64) {
+// at returns the mean as of a time.
+func (a *average) at(now time.Time) float64 {
+	return a.value * halved(now.Sub(a.since), failHalfLife)
+}
+
+func (a *average) add(happened bool, now time.Time) {
 	sample := 0.0
 	if happened {
 		sample = 1
 	}
-	a.value += weight * (sample - a.value)
+	value := a.at(now)
+	a.value = value + failWeight*(sample-value)
+	a.since = now
 }
--- a/plugins/sidecar/placement/placement.go
+++ b/plugins/sidecar/placement/placement.go
@@ -39,8 +39,10 @@
 	// slowCost is the cost of using up all of the time for an answer on time. It
 	// decides between targets where the request is as good as late, or is not.
 	slowCost = 0.02
-	// failureCost is the cost of a failed request.
-	failureCost = 2
+	// failureCost is the cost of a failed request. Single failures, up to the share
+	// toleratedFailing, are no reason to avoid a target.
+	failureCost      = 2
+	toleratedFailing = 0.1
 	// refusedCost is the cost of asking a target again that was full a moment ago.
 	refusedCost = 0.1
 	// awayCost makes targets that do not answer the last choice.
@@ -66,7 +68,7 @@
 // Cost is what the request costs at the candidate.
 func (c Candidate) Cost() float64 {
 	used := float64(c.Expected()) / float64(max(c.OnTime, time.Millisecond))
-	cost := late(used) + slowCost*used + failureCost*c.Failing
+	cost := late(used) + slowCost*used + failureCost*max(c.Failing-toleratedFailing, 0)
 	if c.Remote {
 		cost += remoteCost
 	}
--- a/plugins/sidecar/sender.go
+++ b/plugins/sidecar/sender.go
@@ -28,26 +28,37 @@
 	peerPort string
 	replica  model.Replica
 	gate     *gate
-	dial     func(ctx context.Context, address string) (net.Conn, error)
+	prober   *prober
+	// away is called for a target whose node does not answer.
+	away func(t *model.Target)
+	dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
 	pools map[netip.Addr]*httpconn.Pool
 }
 
-// send hands a call to the node beside a target and returns how it ended.
-func (s *sender) send(ctx context.Context, t *model.Target, h *handover, c *call) *answer {
+// send hands a call to the node beside a target and returns how it ended. expected
+// is the time after which the answer is expected.
+func (s *sender) send(ctx context.Context, t *model.Target, h *handover, c *call, expected time.Duration) *answer {
 	if t.Address.Addr() == s.self {
 		a := s.gate.run(ctx, h, c.header.Clone(), c.body)
 		a.Version = handoverVersion
 		return a
 	}
-	return s.sendRemote(ctx, t, h, c)
+	return s.sendRemote(ctx, t, h, c, expected)
 }
 
-func (s *sender) sendRemote(ctx context.Context, t *model.Target, h *handover, c *call) *answer {
+func (s *sender) sendRemote(ctx context.Context, t *model.Target, h *handover, c *call, expected time.Duration) *answer {
 	header := c.header.Clone()
 	header[headerHandover] = []string{encodeHeader(h)}
-	ctx, cancel := context.WithTimeout(ctx, h.Remaining)
+	ctx, cancelDeadline := context.WithTimeout(ctx, h.Remaining)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	cancel := func() {
+		cancelCause(nil)
+		cancelDeadline()
+	}
+	watch := s.watchSilence(t, c, expected, cancelCause)
+	defer watch.end()
 	response, err := s.pool(t.Address.Addr()).RoundTrip(ctx, &httpconn.Request{
 		Method: http.MethodPost,
 		Target: pathHandover,
@@ -57,8 +68,9 @@
 		Length: c.body.length,
 	})
 	if err != nil {
+		a := peerFailed(ctx, err)
 		cancel()
-		return peerFailed(ctx, err)
+		return a
 	}
 	a := s.take(ctx, response, c.method, s.peerAddress(t.Address.Addr()))
 	if a.body.whole() {
@@ -69,6 +81,20 @@
 	return a
 }
 
+// watchSilence watches over an attempt. A call that may run more than once is ended
+// when the node counts as lost; any other one goes on waiting for its answer.
+func (s *sender) watchSilence(t *model.Target, c *call, expected time.Duration, cancel context.CancelCauseFunc) *silence {
+	host := t.Address.Addr()
+	watch := &silence{prober: s.prober, host: host, address: s.peerAddress(host), lost: func() {
+		s.away(t)
+		if c.route.Idempotent && c.body.whole() {
+			cancel(errPeerSilent)
+		}
+	}}
+	watch.watch(expected)
+	return watch
+}
+
 // peerFailed judges an attempt without an answer of the target's node.
 func peerFailed(ctx context.Context, err error) *answer {
 	var failure *httpconn.Error
@@ -79,6 +105,7 @@
 	}
 	a := &answer{result: result{Outcome: model.OutcomeUnknown, Reason: model.ReasonPeerLost, Handed: true, Failed: true}, body: &message{}}
 	switch {
+	case errors.Is(context.Cause(ctx), errPeerSilent):
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		a.Reason = model.ReasonDeadline
 	case ctx.Err() != nil:
@@ -142,6 +169,7 @@
 	for _, host := range list.Hosts {
 		listed[host.Address] = true
 	}
+	s.prober.retain(listed)
 	for host, p := range s.pools {
 		if !listed[host] {
 			p.Close()
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"strconv"
 	"sync/atomic"
@@ -162,11 +163,14 @@
 		peerPort: peerPort,
 		replica:  replica,
 		gate:     s.gate,
+		prober:   &prober{settings: &s.live, dial: transport.DialPeer, hosts: map[netip.Addr]*probed{}},
+		away:     s.entry.book.away,
 		dial:     transport.DialPeer,
 		pools:    map[netip.Addr]*httpconn.Pool{},
 	}
 	transport.HandleCalls(s.entry)
 	transport.HandlePeer("POST "+pathHandover, s.gate)
+	transport.HandlePeer("GET "+pathAlive, http.HandlerFunc(serveAlive))
 	replica.Subscribe(s.retain)
 	s.requireServing(ctx)
 	return nil
--- /dev/null
+++ b/plugins/sidecar/silence_test.go
@@ -0,0 +1,83 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzemast/bronzemast/internal/jsonc"
+)
+
+// newProber returns a prober that gives up after a short time.
+func newProber() *prober {
+	settings := defaults()
+	settings.ConnectTimeout = jsonc.Duration(100 * time.Millisecond)
+	p := &prober{settings: &live{}, hosts: map[netip.Addr]*probed{}}
+	p.settings.Store(&settings)
+	var dialer net.Dialer
+	p.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	return p
+}
+
+var local = netip.MustParseAddr("127.0.0.1")
+
+func TestANodeThatRunsIsNotLost(t *testing.T) {
+	g := NewWithT(t)
+	var asked atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		serveAlive(w, r)
+	}))
+	defer server.Close()
+	var lost atomic.Bool
+	s := &silence{prober: newProber(), host: local, address: server.Listener.Addr().String(), lost: func() { lost.Store(true) }}
+	s.watch(time.Millisecond)
+	g.Eventually(asked.Load, 5*time.Second).Should(BeNumerically(">=", 2))
+	s.end()
+	g.Expect(lost.Load()).To(BeFalse())
+}
+
+func TestANodeThatAcceptsButDoesNotAnswerIsLost(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }() // the test is over
+	var lost atomic.Bool
+	s := &silence{prober: newProber(), host: local, address: listener.Addr().String(), lost: func() { lost.Store(true) }}
+	s.watch(time.Millisecond)
+	defer s.end()
+	g.Eventually(lost.Load, 5*time.Second).Should(BeTrue())
+}
+
+func TestAnEndedAttemptIsNotLost(t *testing.T) {
+	g := NewWithT(t)
+	var lost atomic.Bool
+	s := &silence{prober: newProber(), host: local, address: "127.0.0.1:1", lost: func() { lost.Store(true) }}
+	s.watch(time.Millisecond)
+	s.end()
+	g.Consistently(lost.Load, 2*leastSilence).Should(BeFalse())
+}
+
+func TestRequestsToOneNodeShareAnAnswer(t *testing.T) {
+	g := NewWithT(t)
+	var asked atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		serveAlive(w, r)
+	}))
+	defer server.Close()
+	p := newProber()
+	for range 20 {
+		g.Expect(p.alive(local, server.Listener.Addr().String())).To(BeTrue())
+	}
+	g.Expect(asked.Load()).To(BeNumerically("<=", 2))
+}
