A reader that lists the store again does not send everything to its followers

A follower now gets what it lacks, and an item that it holds is named, not sent. Answers that take long because they are large are no longer broken off, an answer that came second is no error, and a node that is only slow is not taken for lost: requests are ended for that only if the budget lets them go elsewhere.

--- a/plugins/replica/copy.go
+++ b/plugins/replica/copy.go
@@ -19,11 +19,24 @@
 	// forgotten the revision up to which removals are no longer remembered.
 	removals  []model.Item
 	forgotten uint64
+	// gap is what the copy has not seen of the store's history since.
+	gap gap
 	// earlier holds the last states of each large item, oldest first. Peers get
 	// later ones as a difference from them.
 	earlier map[string][]model.Item
 }
 
+// gap is a part of the history that was passed over by a list: a peer whose
+// revision lies within it may hold items that were removed unseen.
+type gap struct {
+	after, before uint64
+}
+
+// holds reports whether a revision lies within the gap.
+func (g gap) holds(revision uint64) bool {
+	return revision > g.after && revision < g.before
+}
+
 const (
 	// largeBytes is the size from which an item is sent as a difference.
 	largeBytes = 2 << 10
@@ -118,16 +131,27 @@
 			news = append(news, removal)
 		}
 	}
-	c.revision = max(c.revision, revision)
-	// The list does not tell what was removed before it.
-	c.forgotten = max(c.forgotten, revision)
+	c.passOver(revision)
 	return news
 }
 
+// passOver notes that the list of a revision does not tell what was removed since
+// the copy's revision before it was removed from the list as well. One gap is
+// remembered; what was before an earlier one is forgotten.
+func (c *copyOf) passOver(revision uint64) {
+	if c.revision == 0 {
+		c.forgotten = revision
+	} else if revision > c.revision {
+		c.forgotten = max(c.forgotten, c.gap.before)
+		c.gap = gap{after: c.revision, before: revision}
+	}
+	c.revision = max(c.revision, revision)
+}
+
 // since returns all that has changed after a revision. complete is set when the
 // items are the whole copy instead, because the changes are not remembered.
 func (c *copyOf) since(after uint64) (items []model.Item, complete bool) {
-	complete = after < c.forgotten || after == 0
+	complete = after < c.forgotten || after == 0 || c.gap.holds(after)
 	for _, item := range c.items {
 		if complete || item.Revision > after {
 			items = append(items, item)
--- a/plugins/replica/pack.go
+++ b/plugins/replica/pack.go
@@ -22,7 +22,9 @@
 	// the revision Base if that is not 0.
 	Packed bool
 	Base   uint64
-	Data   []byte
+	// Same is set if the peer has the item in this state; there is no data then.
+	Same bool
+	Data []byte
 }
 
 // packing is an item that may be sent as a difference.
@@ -30,6 +32,8 @@
 	item model.Item
 	// base is the state that the peer has; its revision is 0 if it has none.
 	base model.Item
+	// same is set if that is the present one.
+	same bool
 }
 
 // packer compresses items. Followers mostly lack the same, so it remembers its last
@@ -42,6 +46,10 @@
 // pack returns an item as it goes to a peer.
 func (p *packer) pack(x packing) peerItem {
 	packed := peerItem{Key: x.item.Key, Revision: x.item.Revision, Removed: x.item.Removed, Data: x.item.Data}
+	if x.same {
+		packed.Same, packed.Data = true, nil
+		return packed
+	}
 	if len(x.item.Data) < largeBytes {
 		return packed
 	}
@@ -62,12 +70,19 @@
 // unpack undoes pack. held returns the state that the node has of an item.
 func unpack(packed peerItem, held func(key string) model.Item) (model.Item, error) {
 	item := model.Item{Key: packed.Key, Revision: packed.Revision, Removed: packed.Removed, Data: packed.Data}
-	if !packed.Packed {
+	if !packed.Packed && !packed.Same {
 		return item, nil
 	}
+	own := held(packed.Key)
+	if own.Revision >= packed.Revision {
+		return own, nil // another answer has brought it meanwhile
+	}
+	if packed.Same {
+		return item, errors.Errorf("%s of revision %d was not sent, but revision %d is held", packed.Key, packed.Revision, own.Revision)
+	}
 	var base model.Item
 	if packed.Base > 0 {
-		base = held(packed.Key)
+		base = own
 		if base.Revision != packed.Base {
 			return item, errors.Errorf("%s of revision %d is a difference from revision %d, not %d", packed.Key, packed.Revision, packed.Base, base.Revision)
 		}
--- a/plugins/replica/pack_test.go
+++ b/plugins/replica/pack_test.go
@@ -68,3 +68,38 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(whole).To(Equal(item))
 }
+
+func TestAnItemThatThePeerHasIsNotSentAgain(t *testing.T) {
+	g := NewWithT(t)
+	item := model.Item{Key: "doc", Revision: 5, Data: document(1)}
+	var p packer
+	packed := p.pack(packing{item: item, same: true})
+	g.Expect(packed.Data).To(BeEmpty())
+	whole, err := unpack(packed, func(string) model.Item { return item })
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(whole).To(Equal(item))
+	_, err = unpack(packed, func(string) model.Item { return model.Item{Key: "doc", Revision: 4} })
+	g.Expect(err).To(MatchError(ContainSubstring("revision 4 is held")))
+}
+
+func TestAnItemThatCameMeanwhileIsNoError(t *testing.T) {
+	g := NewWithT(t)
+	var p packer
+	packed := p.pack(packing{item: model.Item{Key: "doc", Revision: 9, Data: document(2)}, base: model.Item{Key: "doc", Revision: 5, Data: document(1)}})
+	later := model.Item{Key: "doc", Revision: 11, Data: document(3)}
+	item, err := unpack(packed, func(string) model.Item { return later })
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(item).To(Equal(later))
+}
+
+func TestAListAfterAGapIsNoReasonToSendEverything(t *testing.T) {
+	g := NewWithT(t)
+	c := newCopy()
+	c.change([]model.Item{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}, 10)
+	c.replace([]model.Item{{Key: "b", Revision: 2}, {Key: "c", Revision: 15}}, 20)
+	items, complete := c.since(10)
+	g.Expect(complete).To(BeFalse())
+	g.Expect(items).To(ConsistOf(model.Item{Key: "c", Revision: 15}, model.Item{Key: "a", Revision: 20, Removed: true}))
+	_, complete = c.since(14)
+	g.Expect(complete).To(BeTrue(), "a peer within the gap may hold what was removed unseen")
+}
--- a/plugins/replica/peer.go
+++ b/plugins/replica/peer.go
@@ -19,8 +19,10 @@
 	pathReplica = "/v1/replica"
 	// maxPeerWait bounds the time that a peer may let its call wait.
 	maxPeerWait = 10 * time.Second
-	// peerSlack is the time that a peer may take beyond the wait of a call.
-	peerSlack = 400 * time.Millisecond
+	// peerSlack is the time that a peer may take beyond the wait of a call to begin
+	// its answer, peerBody the time for the answer itself on a slow link.
+	peerSlack = 700 * time.Millisecond
+	peerBody  = 5 * time.Second
 	// maxPeerAnswer bounds the answer of a peer.
 	maxPeerAnswer = 64 << 20
 	// peerIdle is how long an unused connection to a peer is kept.
@@ -60,8 +62,10 @@
 // watch returns what has changed at a peer after a revision, as soon as anything
 // has or after wait.
 func (c *peerClient) watch(ctx context.Context, peer string, after uint64, wait time.Duration) (*peerAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+peerSlack)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	limit := time.AfterFunc(wait+peerSlack, cancel)
+	defer limit.Stop()
 	query := url.Values{
 		"after":   {strconv.FormatUint(after, 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
@@ -75,6 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
+	limit.Reset(peerBody)
 	defer func() { _ = response.Body.Close() }() // the answer was read or is of no use
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("the peer answered %s", response.Status)
@@ -182,7 +187,8 @@
 	lacking := make([]packing, len(items))
 	for i, item := range items {
 		lacking[i].item = item
-		if base, ok := r.copy.base(item.Key, after); ok && !complete {
+		lacking[i].same = after > 0 && item.Revision <= after && !item.Removed
+		if base, ok := r.copy.base(item.Key, after); ok {
 			lacking[i].base = base
 		}
 	}
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/bronzemast/bronzemast/config/ingress"
@@ -53,6 +54,8 @@
 	// be tried again.
 	refused map[model.TargetID]bool
 	failed  map[model.TargetID]bool
+	// paid is set once the retry budget was charged for a further attempt.
+	paid atomic.Bool
 	// trace holds the log lines of the attempts so far.
 	trace []line
 }
@@ -215,7 +218,7 @@
 		return false
 	case planRetry:
 		c.failed[t.ID] = true
-		if !e.budgets.withdraw(c.service, time.Now()) {
+		if !c.paid.Swap(false) && !e.budgets.withdraw(c.service, time.Now()) {
 			e.metrics.budgetEmpty.Add(1)
 			return true
 		}
--- a/plugins/sidecar/sender.go
+++ b/plugins/sidecar/sender.go
@@ -31,6 +31,8 @@
 	prober   *prober
 	// away is called for a target whose node does not answer.
 	away func(t *model.Target)
+	// pay takes a retry from the budget of a service, if there is one left.
+	pay  func(service string) bool
 	dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
@@ -81,13 +83,15 @@
 	return a
 }
 
-// watchSilence watches over an attempt. A call that may run more than once is ended
-// when the node counts as lost; any other one goes on waiting for its answer.
+// watchSilence watches over an attempt. When the node counts as lost, a call that may
+// run more than once is ended if the retry budget lets it go elsewhere; any other one
+// goes on waiting for its answer.
 func (s *sender) watchSilence(t *model.Target, c *call, expected time.Duration, cancel context.CancelCauseFunc) *silence {
 	host := t.Address.Addr()
 	watch := &silence{prober: s.prober, host: host, address: s.peerAddress(host), lost: func() {
 		s.away(t)
-		if c.route.Idempotent && c.body.whole() {
+		if c.route.Idempotent && c.body.whole() && c.handed+1 < c.route.Attempts && s.pay(c.service) {
+			c.paid.Store(true)
 			cancel(errPeerSilent)
 		}
 	}}
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -165,6 +165,7 @@
 		gate:     s.gate,
 		prober:   &prober{settings: &s.live, dial: transport.DialPeer, hosts: map[netip.Addr]*probed{}},
 		away:     s.entry.book.away,
+		pay:      func(service string) bool { return s.entry.budgets.withdraw(service, time.Now()) },
 		dial:     transport.DialPeer,
 		pools:    map[netip.Addr]*httpconn.Pool{},
 	}
--- a/plugins/sidecar/silence.go
+++ b/plugins/sidecar/silence.go
@@ -20,6 +20,9 @@
 	leastSilence = 250 * time.Millisecond
 	// silenceFactor is the number of expected times after which it is asked.
 	silenceFactor = 2
+	// probeFactor is the number of connect timeouts that a node has for its answer: a
+	// busy one takes longer than to accept a connection.
+	probeFactor = 2
 	// proofs is the number of questions in a row without an answer after which a
 	// node counts as lost, one may meet a lost packet.
 	proofs = 2
@@ -74,7 +77,7 @@
 
 // ask asks once.
 func (p *prober) ask(address string) bool {
-	timeout := p.settings.Load().ConnectTimeout.Std()
+	timeout := probeFactor * p.settings.Load().ConnectTimeout.Std()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	pool := httpconn.NewPool(func(ctx context.Context) (net.Conn, error) { return p.dial(ctx, address) }, 0, timeout)
