--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -55,7 +55,8 @@
 func (r *Reloader) Run(ctx context.Context) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	// A hangup that comes while the node leaves must not end it.
+	defer signal.Ignore(syscall.SIGHUP)
 	r.changed()
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
--- a/model/store.go
+++ b/model/store.go
@@ -21,12 +21,15 @@
 // the caller must list the items anew.
 var ErrCompacted = errors.New("the store has dropped this part of its history")
 
+// ErrRateLimited is returned by a Store that refuses a call because of its rate.
+var ErrRateLimited = errors.New("the store's rate is used up")
+
 // Store reads the platform's store. Each call counts against the rate that the
 // platform grants to the whole fleet.
 type Store interface {
 	// List returns all items and a revision of which they are at least true:
-	// what changed later comes by Watch after that revision. A stale list is
-	// cheaper and may be seconds old.
+	// what changed later comes by Watch after that revision. A stale list may be
+	// seconds old and does not count against the rate.
 	List(ctx context.Context, stale bool) ([]Item, uint64, error)
 	// Watch returns the changes after a revision as soon as there are any, none
 	// after wait, and the revision up to which they are complete. It returns
--- a/plugins/replica/follow.go
+++ b/plugins/replica/follow.go
@@ -62,7 +62,7 @@
 func (r *Replica) watchStore(ctx context.Context) error {
 	revision := r.Revision()
 	if revision == 0 {
-		return r.listStore(ctx, r.firstList())
+		return r.firstList(ctx)
 	}
 	items, upTo, err := r.store.Watch(ctx, revision, r.settings.StoreWait.Std())
 	if err != nil {
@@ -72,12 +72,14 @@
 	return nil
 }
 
-// firstList reports whether the store has not failed yet: the first list may be
-// stale, since the watch after it brings what is missing.
-func (r *Replica) firstList() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.storeFailures == 0
+// firstList fills an empty copy. When the store's rate is used up, as when all nodes
+// start at once, a stale list will do: the watch after it brings what is missing.
+func (r *Replica) firstList(ctx context.Context) error {
+	err := r.listStore(ctx, false)
+	if errors.Is(err, model.ErrRateLimited) {
+		err = r.listStore(ctx, true)
+	}
+	return err
 }
 
 func (r *Replica) listStore(ctx context.Context, stale bool) error {
--- a/plugins/replica/setup.go
+++ b/plugins/replica/setup.go
@@ -217,6 +217,10 @@
 	r.subscribers = append(r.subscribers, f)
 }
 
+// sightingAge is the age of the copy from which a sighting is followed. Until then
+// the change comes from the reader, which has it ready for all of its followers.
+const sightingAge = 1200 * time.Millisecond
+
 // Sighted implements model.Replica. It does not block.
 func (r *Replica) Sighted(peer string, revision uint64) {
 	if revision <= r.Revision() {
@@ -224,7 +228,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.sighted == "" {
+	if r.sighted == "" && time.Since(r.confirmed) >= sightingAge {
 		r.sighted = peer
 		r.run("sighting", r.askSighted)
 	}
--- a/test/sidecar/path_test.go
+++ b/test/sidecar/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -271,6 +272,24 @@
 	}
 }
 
+func TestAHangupDoesNotEndANodeThatLeaves(t *testing.T) {
+	g := NewWithT(t)
+	f := calm(t, calmRoutes, "alpha", "beta")
+	h := f.hosts[0]
+	tr := f.traffic(http.MethodPost, "/file/x")
+	time.Sleep(300 * time.Millisecond)
+	h.signal(syscall.SIGTERM)
+	time.Sleep(200 * time.Millisecond)
+	h.signal(syscall.SIGHUP)
+	h.wait()
+	for _, r := range tr.end() {
+		g.Expect(r).To(Satisfy(reply.whole))
+	}
+	log, err := os.ReadFile(h.log)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(log)).To(ContainSubstring("node stopped"))
+}
+
 func TestSettingsAreReadAgainAfterAHangup(t *testing.T) {
 	g := NewWithT(t)
 	f := calm(t, calmRoutes, "alpha", "beta")
