A request waits where it is for as long as the way to another target takes

Cause: a request was refused at once by a full target as long as another one seemed to have room. With 37 targets that belief is old, and on busy hosts a hop takes 25 ms (median) to 200 ms: most requests of a burst made four of them.

--- a/plugins/sidecar/choice.go
+++ b/plugins/sidecar/choice.go
@@ -17,9 +17,9 @@
 	// load is that this rests on.
 	candidate placement.Candidate
 	loadAge   time.Duration
-	// otherFree is set when another target seems to have a free slot and is hardly
-	// worse.
-	otherFree bool
+	// patience is how long the request may wait there: no longer than it takes to
+	// try another target that seems to have a free slot, if there is one.
+	patience time.Duration
 	// fullFor is how long all targets are known to be full; the call is refused
 	// then without asking any of them.
 	fullFor time.Duration
@@ -58,10 +58,20 @@
 		target:    left[i],
 		candidate: candidates[i],
 		loadAge:   now.Sub(b.target(left[i], now).at),
-		otherFree: placement.Alternative(candidates, i),
+		patience:  patience(candidates, i, c.route.Timeout),
 	}
 }
 
+// patience returns how long a request may wait at the chosen target: the way there
+// and to an alternative, or the whole timeout if there is none.
+func patience(candidates []placement.Candidate, chosen int, timeout time.Duration) time.Duration {
+	if !placement.Alternative(candidates, chosen) {
+		return timeout
+	}
+	const ways = 2
+	return ways * candidates[chosen].Distance
+}
+
 // parts spreads the requests of each route over its services by their weights.
 type parts struct {
 	mu     sync.Mutex
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -161,14 +161,14 @@
 	e.budgets.deposit(c.service, now)
 	var last *answer
 	for {
-		chosen, patient := e.choose(c)
+		chosen := e.choose(c)
 		if chosen.target == nil {
 			return withoutTarget(last, chosen.fullFor)
 		}
 		if last != nil {
 			last.close()
 		}
-		a := e.attempt(ctx, c, chosen, patient)
+		a := e.attempt(ctx, c, chosen)
 		if e.settled(ctx, c, chosen.target, a) {
 			return a
 		}
@@ -229,15 +229,18 @@
 	}
 }
 
-// choose returns the target of the next attempt, nil if there is none. patient
-// tells whether the request may wait for a slot there.
-func (e *entry) choose(c *call) (chosen choice, patient bool) {
-	chosen = e.book.choose(c, e.replica.Targets().ByService[c.service], rand.Float64(), time.Now())
-	return chosen, !chosen.otherFree || c.hops+1 >= maxHops
+// choose returns the target of the next attempt and how long the request may wait
+// there.
+func (e *entry) choose(c *call) choice {
+	chosen := e.book.choose(c, e.replica.Targets().ByService[c.service], rand.Float64(), time.Now())
+	if c.hops+1 >= maxHops {
+		chosen.patience = c.route.Timeout
+	}
+	return chosen
 }
 
 // attempt hands the call to one target.
-func (e *entry) attempt(ctx context.Context, c *call, chosen choice, patient bool) *answer {
+func (e *entry) attempt(ctx context.Context, c *call, chosen choice) *answer {
 	t := chosen.target
 	c.hops++
 	began := time.Now()
@@ -255,7 +258,7 @@
 		OnTime:        c.onTime.Sub(began),
 		Objective:     c.route.Objective,
 		Rank:          c.route.Rank,
-		Patient:       patient,
+		Patience:      chosen.patience,
 		Revision:      e.replica.Revision(),
 	}
 	e.book.sent(t, began)
@@ -274,7 +277,7 @@
 		"load_age_ms": chosen.loadAge.Milliseconds(),
 		"expected_ms": chosen.candidate.Expected().Milliseconds(),
 		"cost":        chosen.candidate.Cost(),
-		"patient":     patient,
+		"patience_ms": chosen.patience.Milliseconds(),
 		"outcome":     a.Outcome.String(),
 		"reason":      a.Reason,
 		"handed":      a.Handed,
--- a/plugins/sidecar/events.go
+++ b/plugins/sidecar/events.go
@@ -10,7 +10,7 @@
 		Number:  2200,
 		Level:   logrus.InfoLevel,
 		Message: "attempt ended",
-		Fields:  []string{"request", "hop", "target", "occupied", "slots", "load_age_ms", "expected_ms", "cost", "patient", "outcome", "reason", "handed", "took_ms"},
+		Fields:  []string{"request", "hop", "target", "occupied", "slots", "load_age_ms", "expected_ms", "cost", "patience_ms", "outcome", "reason", "handed", "took_ms"},
 		Meaning: "The entry node has handed a request to a target's node, or tried to. Occupied, slots and expected time are what it believed of the target, from what the target's node told load_age_ms earlier.",
 		Action:  "None. The line of the request's end says what came of it.",
 	})
@@ -26,7 +26,7 @@
 		Number:  2202,
 		Level:   logrus.InfoLevel,
 		Message: "target side ended",
-		Fields:  []string{"request", "route", "target", "rank", "nested", "late", "patient", "expected_ms", "start_within_ms", "running", "waiting", "slots", "waited_ms", "worked_ms", "outcome", "reason", "status", "revision", "sender_revision"},
+		Fields:  []string{"request", "route", "target", "rank", "nested", "late", "patience_ms", "expected_ms", "start_within_ms", "running", "waiting", "slots", "waited_ms", "worked_ms", "outcome", "reason", "status", "revision", "sender_revision"},
 		Meaning: "The node beside a target has taken in or refused a request. Running, waiting and slots are what it met there.",
 		Action:  "Many refusals for overload: the target has too few slots for its load, or has become slow.",
 	})
--- a/plugins/sidecar/gate.go
+++ b/plugins/sidecar/gate.go
@@ -127,7 +127,7 @@
 		return refused(model.ReasonDeadline)
 	}
 	s.late, s.startWithin = t.Late, t.StartBy.Sub(arrived)
-	started, retryAfter := l.enter(ctx, t, h.Patient)
+	started, retryAfter := l.enter(ctx, t, h.Patience)
 	s.waited = time.Since(arrived)
 	if !started {
 		a := refused(model.ReasonOverloaded)
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -45,8 +45,9 @@
 	OnTime    time.Duration
 	Objective time.Duration
 	Rank      int
-	// Patient requests may wait for a slot; others are refused if none is free.
-	Patient bool
+	// Patience is how long the request may be expected to wait for a slot, beyond
+	// which it is refused so that it can go elsewhere.
+	Patience time.Duration
 	// Revision is the store's revision that the sender has.
 	Revision uint64
 }
--- a/plugins/sidecar/lane.go
+++ b/plugins/sidecar/lane.go
@@ -69,11 +69,11 @@
 
 // enter waits for a slot. Without one it returns the time after which there may
 // be room.
-func (l *lane) enter(ctx context.Context, t *slotqueue.Ticket, patient bool) (started bool, retryAfter time.Duration) {
+func (l *lane) enter(ctx context.Context, t *slotqueue.Ticket, patience time.Duration) (started bool, retryAfter time.Duration) {
 	w := &waiter{told: make(chan verdict, 1)}
 	t.Owner = w
 	l.mu.Lock()
-	outcome, wait := l.queue.Offer(t, patient, time.Now())
+	outcome, wait := l.queue.Offer(t, patience, time.Now())
 	l.arm()
 	l.mu.Unlock()
 	switch outcome {
--- a/plugins/sidecar/slotqueue/load_test.go
+++ b/plugins/sidecar/slotqueue/load_test.go
@@ -80,7 +80,7 @@
 			begin(t)
 		}
 		t.Owner = r
-		switch verdict, _ := q.Offer(t, true, now); verdict {
+		switch verdict, _ := q.Offer(t, forever, now); verdict {
 		case Start:
 			r.begin()
 		case Refuse:
--- a/plugins/sidecar/slotqueue/queue.go
+++ b/plugins/sidecar/slotqueue/queue.go
@@ -85,15 +85,16 @@
 // Waiting returns the number of requests in the queue.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
-// Offer takes in a request. A refused one comes with the time after which the
-// queue expects room for it.
-func (q *Queue) Offer(t *Ticket, patient bool, now time.Time) (Verdict, time.Duration) {
+// Offer takes in a request. It is refused if it would have to wait longer than its
+// patience, or than it is worth, and then comes with the time after which the queue
+// expects room for it.
+func (q *Queue) Offer(t *Ticket, patience time.Duration, now time.Time) (Verdict, time.Duration) {
 	if len(q.running) < q.limit && len(q.waiting) == 0 {
 		q.start(t, now)
 		return Start, 0
 	}
 	wait := q.expectedWait(t, now)
-	if !patient || now.Add(wait).After(t.StartBy) {
+	if wait > patience || now.Add(wait).After(t.StartBy) {
 		return Refuse, wait
 	}
 	at := sort.Search(len(q.waiting), func(i int) bool { return t.before(q.waiting[i]) })
--- a/plugins/sidecar/slotqueue/queue_test.go
+++ b/plugins/sidecar/slotqueue/queue_test.go
@@ -10,6 +10,9 @@
 
 var start = time.Unix(1_000_000, 0)
 
+// forever is the patience of a request that has nowhere else to go.
+const forever = time.Hour
+
 // ticket returns a ticket of a rank that may wait for patience and works for 100 ms.
 func ticket(rank int, patience time.Duration) *Ticket {
 	return &Ticket{Rank: rank, StartBy: start.Add(patience), Expected: 100 * time.Millisecond}
@@ -19,10 +22,10 @@
 	g := NewWithT(t)
 	q := New(2)
 	for range 2 {
-		verdict, _ := q.Offer(ticket(0, time.Second), true, start)
+		verdict, _ := q.Offer(ticket(0, time.Second), forever, start)
 		g.Expect(verdict).To(Equal(Start))
 	}
-	verdict, _ := q.Offer(ticket(0, time.Second), true, start)
+	verdict, _ := q.Offer(ticket(0, time.Second), forever, start)
 	g.Expect(verdict).To(Equal(Wait))
 	g.Expect([]int{q.Running(), q.Waiting()}).To(Equal([]int{2, 1}))
 }
@@ -31,14 +34,14 @@
 	g := NewWithT(t)
 	q := New(1)
 	running := ticket(0, time.Second)
-	q.Offer(running, true, start)
+	q.Offer(running, forever, start)
 	late := ticket(0, time.Second)
 	late.Late = true
 	nested := ticket(5, time.Second)
 	nested.Nested = true
 	sooner, later, lowest := ticket(0, 800*time.Millisecond), ticket(0, 900*time.Millisecond), ticket(1, time.Second)
 	for _, waiting := range []*Ticket{lowest, late, later, sooner, nested} {
-		verdict, _ := q.Offer(waiting, true, start)
+		verdict, _ := q.Offer(waiting, forever, start)
 		g.Expect(verdict).To(Equal(Wait))
 	}
 	for _, next := range []*Ticket{nested, sooner, later, late, lowest} {
@@ -51,14 +54,14 @@
 func TestARequestThatWouldWaitTooLongIsRefusedAtOnce(t *testing.T) {
 	g := NewWithT(t)
 	q := New(1)
-	q.Offer(ticket(0, time.Second), true, start)
-	q.Offer(ticket(0, 120*time.Millisecond), true, start)
-	verdict, retryAfter := q.Offer(ticket(0, 150*time.Millisecond), true, start)
+	q.Offer(ticket(0, time.Second), forever, start)
+	q.Offer(ticket(0, 120*time.Millisecond), forever, start)
+	verdict, retryAfter := q.Offer(ticket(0, 150*time.Millisecond), forever, start)
 	g.Expect(verdict).To(Equal(Refuse))
 	g.Expect(retryAfter).To(Equal(200*time.Millisecond), "one request runs and one waits")
-	verdict, _ = q.Offer(ticket(0, 110*time.Millisecond), true, start)
+	verdict, _ = q.Offer(ticket(0, 110*time.Millisecond), forever, start)
 	g.Expect(verdict).To(Equal(Wait), "it goes before the one that may wait longer")
-	verdict, _ = q.Offer(ticket(0, time.Second), false, start)
+	verdict, _ = q.Offer(ticket(0, time.Second), 0, start)
 	g.Expect(verdict).To(Equal(Refuse), "an impatient request does not wait")
 }
 
@@ -66,8 +69,8 @@
 	g := NewWithT(t)
 	q := New(1)
 	running, waiting := ticket(0, time.Second), ticket(0, 300*time.Millisecond)
-	q.Offer(running, true, start)
-	q.Offer(waiting, true, start)
+	q.Offer(running, forever, start)
+	q.Offer(waiting, forever, start)
 	at, ok := q.NextExpiry()
 	g.Expect(ok).To(BeTrue())
 	g.Expect(at).To(Equal(waiting.StartBy))
@@ -80,9 +83,9 @@
 func TestMoreSlotsStartWaitingRequests(t *testing.T) {
 	g := NewWithT(t)
 	q := New(1)
-	q.Offer(ticket(0, time.Second), true, start)
+	q.Offer(ticket(0, time.Second), forever, start)
 	waiting := ticket(0, time.Second)
-	q.Offer(waiting, true, start)
+	q.Offer(waiting, forever, start)
 	g.Expect(q.SetLimit(2, start)).To(Equal([]*Ticket{waiting}))
 }
 
@@ -120,7 +123,7 @@
 					StartBy:  now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "patience")) * time.Millisecond),
 					Expected: 100 * time.Millisecond,
 				}
-				verdict, _ := q.Offer(s, rapid.Bool().Draw(t, "patient"), now)
+				verdict, _ := q.Offer(s, rapid.SampledFrom([]time.Duration{0, 50 * time.Millisecond, forever}).Draw(t, "patience"), now)
 				state[s] = []string{"running", "waiting", "refused"}[verdict]
 			case 1:
 				if running := inState("running"); len(running) > 0 {
--- a/plugins/sidecar/trace.go
+++ b/plugins/sidecar/trace.go
@@ -122,7 +122,7 @@
 		"rank":            h.Rank,
 		"nested":          a.Nested,
 		"late":            s.late,
-		"patient":         h.Patient,
+		"patience_ms":     h.Patience.Milliseconds(),
 		"expected_ms":     s.expected.Milliseconds(),
 		"start_within_ms": s.startWithin.Milliseconds(),
 		"running":         s.met.Running,
