--- a/cmd/bronzemast/explain.go
+++ b/cmd/bronzemast/explain.go
@@ -18,8 +18,8 @@
 func init() {
 	commands.Register(cli.Command{
 		Name:  "explain",
-		Short: "tell why calls are limited or a host has its release",
-		Long:  "With --caller and --target it tells why such calls are allowed, limited or refused right now, with the place of the parameter. With --host it tells why a host has the release it has, or has refused one.",
+		Short: "tell why calls are limited, a host has its release, or a request ended as it did",
+		Long:  "With --request it reads the logs of nodes, or standard input, and tells in causal order what became of a request and why; it leaves with 1 if the logs do not name the request. With --caller and --target it tells why such calls are allowed, limited or refused right now, with the place of the parameter. With --host it tells why a host has the release it has, or has refused one.",
 		Run:   &explainCommand{},
 	})
 }
@@ -29,14 +29,25 @@
 	Caller string `long:"caller" description:"caller to explain the calls of"`
 	Target string `long:"target" value-name:"SERVICE" description:"service that the caller calls"`
 	Host   string `long:"host" description:"host to explain the release of"`
-	JSON   bool   `long:"json" description:"print JSON"`
+	// Request and Logs belong together.
+	Request string `long:"request" value-name:"ID" description:"request to explain from logs"`
+	JSON    bool   `long:"json" description:"print JSON"`
+	Logs    struct {
+		Files []string `positional-arg-name:"LOG" description:"log of a node, with --request; - or none is standard input"`
+	} `positional-args:"yes"`
 }
 
 // Execute implements flags.Commander.
 func (c *explainCommand) Execute([]string) error {
+	if c.Request != "" {
+		if c.Caller != "" || c.Target != "" || c.Host != "" {
+			return errors.New("--request goes without --caller, --target and --host")
+		}
+		return explainRequest(c.Request, c.Logs.Files, c.JSON)
+	}
 	byCall := c.Caller != "" && c.Target != ""
 	if byCall == (c.Host != "") || !byCall && (c.Caller != "" || c.Target != "") {
-		return errors.New("give either --caller and --target, or --host")
+		return errors.New("give either --caller and --target, or --host, or --request")
 	}
 	nodes, err := c.list()
 	if err != nil {
--- a/plugins/all/all.go
+++ b/plugins/all/all.go
@@ -4,6 +4,7 @@
 
 import (
 	_ "github.com/bronzemast/bronzemast/platform"          // the Clearplate platform
+	_ "github.com/bronzemast/bronzemast/plugins/metrics"   // metrics as text
 	_ "github.com/bronzemast/bronzemast/plugins/replica"   // copy of the platform's store
 	_ "github.com/bronzemast/bronzemast/plugins/sidecar"   // requests of the host's callers
 	_ "github.com/bronzemast/bronzemast/plugins/transport" // listeners and peer connections
--- /dev/null
+++ b/plugins/metrics/setup.go
@@ -0,0 +1,101 @@
+// Package metrics is the plug-in that serves the metrics of all plug-ins as text.
+package metrics
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/bronzemast/bronzemast/finding"
+	"github.com/bronzemast/bronzemast/internal/jsonc"
+	"github.com/bronzemast/bronzemast/kernel"
+	"github.com/pkg/errors"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:    "metrics",
+		Profile: kernel.ProfileSidecar,
+		New:     func() kernel.Plugin { return &Metrics{} },
+	})
+}
+
+const (
+	// path is where the metrics are served.
+	path = "/metrics"
+	// headerTimeout bounds the time to read a request.
+	headerTimeout = 2 * time.Second
+	// contentType is that of the text format of Prometheus.
+	contentType = "text/plain; version=0.0.4; charset=utf-8"
+)
+
+// Settings are the settings of the plug-in.
+type Settings struct {
+	// Address is where the metrics are served, IP:port; empty serves none.
+	Address string `json:"address"`
+}
+
+// Metrics serves the metrics of a node.
+type Metrics struct {
+	settings Settings
+	doc      *jsonc.Document
+	all      *expvar.Map
+	server   *http.Server
+}
+
+// Provision reads the settings.
+func (m *Metrics) Provision(ctx *kernel.Context) error {
+	m.doc = ctx.Settings(&m.settings)
+	m.all = ctx.AllMetrics()
+	return nil
+}
+
+// Validate checks the address.
+func (m *Metrics) Validate(findings *finding.List) {
+	if m.settings.Address == "" {
+		return
+	}
+	if _, err := netip.ParseAddrPort(m.settings.Address); err != nil {
+		findings.Errorf(m.doc.Place("address"), "%q is not an IP address and port", m.settings.Address)
+	}
+}
+
+// Start opens the address.
+func (m *Metrics) Start(_ context.Context) error {
+	if m.settings.Address == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", m.settings.Address)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", m.settings.Address)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, m.serve)
+	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = m.server.Serve(listener) }() // ends with ErrServerClosed at Stop
+	return nil
+}
+
+// Stop closes the address.
+func (m *Metrics) Stop(_ context.Context) error {
+	if m.server == nil {
+		return nil
+	}
+	return m.server.Close()
+}
+
+func (m *Metrics) serve(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", contentType)
+	_ = write(w, m.all) // the client may have gone
+}
+
+// Interface guards.
+var (
+	_ kernel.Plugin    = (*Metrics)(nil)
+	_ kernel.Validator = (*Metrics)(nil)
+	_ kernel.Starter   = (*Metrics)(nil)
+	_ kernel.Stopper   = (*Metrics)(nil)
+)
--- /dev/null
+++ b/plugins/metrics/text.go
@@ -0,0 +1,54 @@
+package metrics
+
+import (
+	"bufio"
+	"expvar"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/bronzemast/bronzemast/model"
+)
+
+// prefix begins the name of every metric.
+const prefix = "bronzemast_"
+
+// write writes the metrics of all plug-ins in the text format of Prometheus.
+// Counters and gauges are numbers, maps have a label "kind" for their keys, and
+// latencies are summaries in seconds. Metrics of other types are left out.
+func write(out io.Writer, all *expvar.Map) error {
+	w := bufio.NewWriter(out)
+	all.Do(func(plugin expvar.KeyValue) {
+		metrics, ok := plugin.Value.(*expvar.Map)
+		if !ok {
+			return
+		}
+		metrics.Do(func(metric expvar.KeyValue) {
+			writeOne(w, prefix+plugin.Key+"_"+metric.Key, metric.Value)
+		})
+	})
+	return w.Flush()
+}
+
+func writeOne(w io.Writer, name string, value expvar.Var) {
+	switch v := value.(type) {
+	case *expvar.Map:
+		v.Do(func(kind expvar.KeyValue) {
+			fmt.Fprintf(w, "%s{kind=%q} %s\n", name, kind.Key, kind.Value.String())
+		})
+	case model.Latency:
+		for _, q := range []float64{0.5, 0.9, 0.99, 0.999} {
+			fmt.Fprintf(w, "%s_seconds{quantile=%q} %g\n", name, strconv.FormatFloat(q, 'f', -1, 64), v.Quantile(q).Seconds())
+		}
+		fmt.Fprintf(w, "%s_seconds_sum %g\n%s_seconds_count %d\n", name, v.Sum().Seconds(), name, v.Count())
+	default:
+		if text := value.String(); isNumber(text) {
+			fmt.Fprintf(w, "%s %s\n", name, text)
+		}
+	}
+}
+
+func isNumber(text string) bool {
+	_, err := strconv.ParseFloat(text, 64)
+	return err == nil
+}
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -289,6 +289,7 @@
 // deliver passes the end of a call on to its caller.
 func (e *entry) deliver(w http.ResponseWriter, c *call, a *answer) {
 	e.metrics.outcome(a.Outcome, a.status)
+	e.metrics.requests.Observe(time.Since(c.began))
 	if a.status == 0 || a.Outcome != model.OutcomeRan {
 		a.Reason = e.reasonOf(c, a)
 		refusal := &model.RequestRefusal{ID: c.id, Outcome: a.Outcome, Reason: a.Reason, RetryAfter: e.retryAfter(c, a)}
--- a/plugins/sidecar/gate.go
+++ b/plugins/sidecar/gate.go
@@ -26,6 +26,7 @@
 	settings *live
 	exchange model.Exchange
 	replica  model.Replica
+	metrics  *metrics
 	tracer   *tracer
 	drain    *drain
 	dial     func(ctx context.Context, address string) (net.Conn, error)
@@ -129,6 +130,7 @@
 	s.late, s.startWithin = t.Late, t.StartBy.Sub(arrived)
 	started, retryAfter := l.enter(ctx, t, h.Patience)
 	s.waited = time.Since(arrived)
+	g.metrics.waits.Observe(s.waited)
 	if !started {
 		a := refused(model.ReasonOverloaded)
 		a.RetryAfter = retryAfter
--- a/plugins/sidecar/metrics.go
+++ b/plugins/sidecar/metrics.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"strconv"
 
+	"github.com/bronzemast/bronzemast/internal/latency"
 	"github.com/bronzemast/bronzemast/model"
 )
 
@@ -15,16 +16,22 @@
 	retries     expvar.Int
 	budgetEmpty expvar.Int
 	canceled    expvar.Int
+	// requests holds how long callers waited for their answers, and waits how long
+	// requests waited for a slot of the target.
+	requests *latency.Histogram
+	waits    *latency.Histogram
 }
 
 func newMetrics(m *expvar.Map) *metrics {
-	s := &metrics{}
+	s := &metrics{requests: latency.New(), waits: latency.New()}
 	m.Set("outcomes", s.outcomes.Init())
 	m.Set("statuses", s.statuses.Init())
 	m.Set("refusals", s.refusals.Init())
 	m.Set("retries", &s.retries)
 	m.Set("retry_budget_empty", &s.budgetEmpty)
 	m.Set("canceled", &s.canceled)
+	m.Set("request_latency", s.requests)
+	m.Set("slot_wait", s.waits)
 	return s
 }
 
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -139,6 +139,7 @@
 		settings: &s.live,
 		exchange: exchange,
 		replica:  replica,
+		metrics:  m,
 		tracer:   s.tracer,
 		drain:    s.drain,
 		dial:     transport.DialTarget,
--- /dev/null
+++ b/test/sidecar/explain_test.go
@@ -0,0 +1,117 @@
+package sidecar
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzemast/bronzemast/internal/requestlog"
+)
+
+// explain returns what the logs of all nodes tell of a request.
+func (f *fleet) explain(id string) *requestlog.History {
+	f.t.Helper()
+	reader := requestlog.NewReader(id, nil)
+	for _, h := range f.hosts {
+		log, err := os.Open(h.log)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		err = reader.Read(h.address, log)
+		_ = log.Close() // it was only read
+		if err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	return reader.History()
+}
+
+// awaitConclusion waits for the end of a request in the logs.
+func (f *fleet) awaitConclusion(g *WithT, id, want string) *requestlog.History {
+	f.t.Helper()
+	g.Eventually(func() string { return f.explain(id).Conclusion() }, liveness, pollInterval).Should(ContainSubstring(want))
+	return f.explain(id)
+}
+
+func TestARefusalByOverloadIsExplained(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, "alpha", "beta")
+	for _, h := range f.hosts {
+		f.startWorker(h)
+		h.worker.Work = 400 * time.Millisecond
+	}
+	f.configure(calmRoutes...)
+	for _, h := range f.hosts {
+		h.start()
+	}
+	f.awaitReady()
+	var all sync.WaitGroup
+	replies := make(chan reply, 60)
+	for range cap(replies) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			replies <- f.hosts[0].ask(freshClient, http.MethodPost, "/file/x", "")
+		}()
+	}
+	all.Wait()
+	close(replies)
+	refused := 0
+	for r := range replies {
+		if r.status != http.StatusServiceUnavailable {
+			continue
+		}
+		if refused++; refused == 1 {
+			h := f.awaitConclusion(g, r.id, "refused by overload")
+			t.Logf("\n%s", h.Text())
+		}
+	}
+	g.Expect(refused).To(BeNumerically(">", 0))
+}
+
+func TestARequestLostToAWorkerThatEndedIsExplained(t *testing.T) {
+	g := NewWithT(t)
+	f := calm(t, calmRoutes, "alpha", "beta")
+	target := f.hosts[1]
+	target.worker.Work = 2 * time.Second
+	answer := make(chan reply)
+	go func() { answer <- f.hosts[0].ask(freshClient, http.MethodPost, "/file/x", "") }()
+	g.Eventually(func() int { return len(target.worker.Runs()) }, liveness, pollInterval).Should(Equal(1))
+	g.Expect(target.server.Close()).To(Succeed())
+	r := <-answer
+	g.Expect(r.status).To(Equal(http.StatusBadGateway))
+	h := f.awaitConclusion(g, r.id, "The target ended")
+	t.Logf("\n%s", h.Text())
+	var hosts []string
+	for _, l := range h.Lines {
+		hosts = append(hosts, l.Host)
+	}
+	g.Expect(hosts).To(Equal([]string{"h0", "h1", "h0"}), "the attempt, what the target side made of it, the end")
+}
+
+func TestARequestByAnOlderConfigurationIsExplained(t *testing.T) {
+	g := NewWithT(t)
+	f := calm(t, calmRoutes, "alpha", "beta")
+	f.hosts[1].worker.Work = time.Second
+	answer := make(chan reply)
+	go func() { answer <- f.hosts[0].ask(freshClient, http.MethodPost, "/file/x", "") }()
+	g.Eventually(func() int { return len(f.hosts[1].worker.Runs()) }, liveness, pollInterval).Should(Equal(1))
+	older := f.version
+	f.configure(route{prefix: "/file/", kind: "unsafe", service: "alpha"})
+	g.Eventually(func() bool {
+		data, err := os.ReadFile(f.hosts[0].log)
+		return err == nil && strings.Count(string(data), "configuration is in force") == 2
+	}, liveness, pollInterval).Should(BeTrue())
+	r := <-answer
+	g.Expect(r).To(Satisfy(reply.whole))
+	// Requests that went well are logged in a sample only; this one was slow.
+	h := f.awaitConclusion(g, r.id, "ran and was answered with 200")
+	t.Logf("\n%s", h.Text())
+	g.Expect(h.Lines[len(h.Lines)-1].Config).To(Equal(uint64(older)))
+	g.Expect(h.Conclusion()).To(ContainSubstring("acted on revision"), "the target's node had learnt of the change when the request ended")
+}
