--- a/plugins/forwarding/hop.go
+++ b/plugins/forwarding/hop.go
@@ -1,9 +1,9 @@
 package forwarding
 
 import (
-	"encoding/base64"
 	"time"
 
+	"github.com/bronzemast/bronzemast/internal/cborheader"
 	"github.com/bronzemast/bronzemast/internal/strictcbor"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/fxamacker/cbor/v2"
@@ -84,13 +84,13 @@
 // encode returns the header's value.
 func (h *hop) encode() string {
 	h.Version = hopVersion
-	return encodeHeader(h)
+	return cborheader.Encode(h)
 }
 
 // decodeHop reads the header's value.
 func decodeHop(text string) (hop, error) {
 	var h hop
-	if err := decodeHeader(text, &h); err != nil {
+	if err := cborheader.Decode(text, hopDecoding, maxHopBytes, &h); err != nil {
 		return hop{}, errors.Wrap(err, "hop header")
 	}
 	if h.Version != hopVersion {
@@ -105,13 +105,13 @@
 // encode returns the header's value.
 func (a *hopAnswer) encode() string {
 	a.Version = hopVersion
-	return encodeHeader(a)
+	return cborheader.Encode(a)
 }
 
 // decodeHopAnswer reads the header's value.
 func decodeHopAnswer(text string) (hopAnswer, error) {
 	var a hopAnswer
-	if err := decodeHeader(text, &a); err != nil {
+	if err := cborheader.Decode(text, hopDecoding, maxHopBytes, &a); err != nil {
 		return hopAnswer{}, errors.Wrap(err, "hop answer header")
 	}
 	if a.Version != hopVersion {
@@ -122,22 +122,3 @@
 	}
 	return a, nil
 }
-
-func encodeHeader(value any) string {
-	data, err := cbor.Marshal(value)
-	if err != nil {
-		panic(err) // the types have no value that cannot be encoded
-	}
-	return base64.RawURLEncoding.EncodeToString(data)
-}
-
-func decodeHeader(text string, value any) error {
-	if len(text) > maxHopBytes {
-		return errors.Errorf("%d bytes, more than the limit of %d", len(text), maxHopBytes)
-	}
-	data, err := base64.RawURLEncoding.DecodeString(text)
-	if err != nil {
-		return errors.Wrap(err, "base64")
-	}
-	return hopDecoding.Unmarshal(data, value)
-}
--- a/plugins/replica/copy.go
+++ b/plugins/replica/copy.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/bronzemast/bronzemast/model"
@@ -104,9 +105,10 @@
 	return model.Item{}, false
 }
 
+// remember keeps a removal for the peers, in the order of revisions.
 func (c *copyOf) remember(removal model.Item) {
-	c.removals = append(c.removals, removal)
-	sort.SliceStable(c.removals, func(i, j int) bool { return c.removals[i].Revision < c.removals[j].Revision })
+	at := sort.Search(len(c.removals), func(i int) bool { return c.removals[i].Revision > removal.Revision })
+	c.removals = slices.Insert(c.removals, at, removal)
 	if excess := len(c.removals) - maxRemovals; excess > 0 {
 		c.forgotten = c.removals[excess-1].Revision
 		c.removals = append([]model.Item(nil), c.removals[excess:]...)
--- a/plugins/sidecar/book.go
+++ b/plugins/sidecar/book.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/config/ingress"
+	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/placement"
 )
@@ -15,6 +16,7 @@
 type book struct {
 	self   netip.Addr
 	domain string
+	log    *event.Log
 
 	mu      sync.Mutex
 	targets map[model.TargetID]*record
@@ -38,6 +40,8 @@
 	// answer, and awayFor how long it was put off.
 	awayUntil time.Time
 	awayFor   time.Duration
+	// state is what the node last logged that it believes.
+	state     string
 	coldUntil time.Time
 	// fullUntil is when the target may have room again for requests of the rank
 	// fullRank and later ones.
@@ -77,10 +81,11 @@
 	longestAway  = 2 * time.Second
 )
 
-func newBook(self netip.Addr, domain string) *book {
+func newBook(self netip.Addr, domain string, log *event.Log) *book {
 	return &book{
 		self:    self,
 		domain:  domain,
+		log:     log,
 		targets: map[model.TargetID]*record{},
 		routes:  map[string]*routeRecord{},
 	}
@@ -210,6 +215,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.target(t, now)
+	defer b.noteState(t, r, now)
 	r.inFlight--
 	if a.Version == 0 { // the target's node told nothing
 		if a.Outcome == model.OutcomeNotRun || a.Reason == model.ReasonPeerLost {
@@ -262,7 +268,55 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	b.target(t, now).putOff(now)
+	r := b.target(t, now)
+	r.putOff(now)
+	b.noteState(t, r, now)
+}
+
+// The states of a target in the log.
+const (
+	stateWell    = "well"
+	stateSlow    = "slow"
+	stateFailing = "failing"
+	stateAway    = "away"
+)
+
+const (
+	// notablySlow is the present run time, relative to the usual one, from which a
+	// target is logged as slow.
+	notablySlow = 2
+	// notablyFailing is the share of failures from which it is logged as failing.
+	notablyFailing = 0.15
+)
+
+// stateOf names what the node believes of a target.
+func (r *record) stateOf(now time.Time) string {
+	switch {
+	case now.Before(r.awayUntil):
+		return stateAway
+	case r.load.Failing >= notablyFailing:
+		return stateFailing
+	case r.load.Slow >= notablySlow:
+		return stateSlow
+	default:
+		return stateWell
+	}
+}
+
+// noteState logs a change of belief. The caller holds mu; the log does not block.
+func (b *book) noteState(t *model.Target, r *record, now time.Time) {
+	state := r.stateOf(now)
+	if state == r.state || r.state == "" && state == stateWell {
+		return
+	}
+	r.state = state
+	b.log.Emit(eventTargetState, event.Fields{
+		"target":  t.ID,
+		"state":   state,
+		"failing": r.load.Failing,
+		"pace":    r.load.Slow,
+		"away_ms": max(r.awayUntil.Sub(now), 0).Milliseconds(),
+	})
 }
 
 // putOff keeps requests from a target that did not answer, longer each time.
--- a/plugins/sidecar/book_test.go
+++ b/plugins/sidecar/book_test.go
@@ -1,13 +1,16 @@
 package sidecar
 
 import (
+	"io"
 	"net/netip"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
 
 	"github.com/bronzemast/bronzemast/config/ingress"
+	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/model"
 )
 
@@ -30,7 +33,9 @@
 }
 
 func newTestBook() *book {
-	return newBook(netip.MustParseAddr("10.0.0.99"), "d")
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return newBook(netip.MustParseAddr("10.0.0.99"), "d", event.NewLog(logrus.NewEntry(logger)))
 }
 
 // answered returns the end of a good run.
@@ -153,3 +158,21 @@
 	b.ended(failedOnce, bookCall, a, 101*time.Millisecond, begin)
 	g.Expect(b.chosen(begin, failedOnce, other)[failedOnce.ID]).To(BeNumerically(">=", 40))
 }
+
+func TestAChangeOfBeliefIsLoggedOnce(t *testing.T) {
+	g := NewWithT(t)
+	b := newTestBook()
+	var states []string
+	b.log.Observe(func(r event.Record) { states = append(states, r.Fields["state"].(string)) })
+	target := targetAt(1)
+	b.teach(target, 100*time.Millisecond, time.Millisecond, begin)
+	slow := answered(time.Second)
+	slow.Load.Slow = 5
+	for range 3 {
+		b.sent(target, begin)
+		b.ended(target, bookCall, slow, time.Second, begin)
+	}
+	b.away(target)
+	b.teach(target, 100*time.Millisecond, time.Millisecond, time.Now().Add(time.Minute))
+	g.Expect(states).To(Equal([]string{stateSlow, stateAway, stateWell}))
+}
--- a/plugins/sidecar/gate.go
+++ b/plugins/sidecar/gate.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzemast/bronzemast/internal/cborheader"
 	"github.com/bronzemast/bronzemast/internal/httpconn"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/nesting"
@@ -385,7 +386,7 @@
 	for name, values := range passedOn(a.header) {
 		header[name] = values
 	}
-	header[headerResult] = []string{encodeHeader(&a.result)}
+	header[headerResult] = []string{cborheader.Encode(&a.result)}
 	if a.status == 0 {
 		a.status = http.StatusServiceUnavailable
 	}
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -1,9 +1,9 @@
 package sidecar
 
 import (
-	"encoding/base64"
 	"time"
 
+	"github.com/bronzemast/bronzemast/internal/cborheader"
 	"github.com/bronzemast/bronzemast/internal/strictcbor"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/fxamacker/cbor/v2"
@@ -94,28 +94,9 @@
 
 var handoverDecoding = strictcbor.Decoding(cbor.DecOptions{MaxNestedLevels: 4})
 
-func encodeHeader(value any) string {
-	data, err := cbor.Marshal(value)
-	if err != nil {
-		panic(err) // the types have no value that cannot be encoded
-	}
-	return base64.RawURLEncoding.EncodeToString(data)
-}
-
-func decodeHeader(text string, value any) error {
-	if len(text) > maxHandoverBytes {
-		return errors.Errorf("%d bytes, more than the limit of %d", len(text), maxHandoverBytes)
-	}
-	data, err := base64.RawURLEncoding.DecodeString(text)
-	if err != nil {
-		return errors.Wrap(err, "base64")
-	}
-	return handoverDecoding.Unmarshal(data, value)
-}
-
 func decodeHandover(text string) (*handover, error) {
 	var h handover
-	if err := decodeHeader(text, &h); err != nil {
+	if err := cborheader.Decode(text, handoverDecoding, maxHandoverBytes, &h); err != nil {
 		return nil, errors.Wrap(err, "handover header")
 	}
 	if h.Version != handoverVersion {
@@ -126,7 +107,7 @@
 
 func decodeResult(text string) (*result, error) {
 	var r result
-	if err := decodeHeader(text, &r); err != nil {
+	if err := cborheader.Decode(text, handoverDecoding, maxHandoverBytes, &r); err != nil {
 		return nil, errors.Wrap(err, "result header")
 	}
 	if r.Version != handoverVersion {
--- a/plugins/sidecar/sender.go
+++ b/plugins/sidecar/sender.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzemast/bronzemast/internal/cborheader"
 	"github.com/bronzemast/bronzemast/internal/httpconn"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
@@ -52,7 +53,7 @@
 
 func (s *sender) sendRemote(ctx context.Context, t *model.Target, h *handover, c *call, expected time.Duration) *answer {
 	header := c.header.Clone()
-	header[headerHandover] = []string{encodeHeader(h)}
+	header[headerHandover] = []string{cborheader.Encode(h)}
 	ctx, cancelDeadline := context.WithTimeout(ctx, h.Remaining)
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	cancel := func() {
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -153,7 +153,7 @@
 		replica:  replica,
 		metrics:  m,
 		tracer:   s.tracer,
-		book:     newBook(peer.Addr(), ctx.Host().Domain),
+		book:     newBook(peer.Addr(), ctx.Host().Domain, ctx.Log()),
 		parts:    newParts(),
 		budgets:  newBudgets(&s.live, func() int { return len(replica.Targets().Hosts) }),
 		drain:    s.drain,
