--- a/plugins/sidecar/book.go
+++ b/plugins/sidecar/book.go
@@ -283,20 +283,30 @@
 
 const (
 	// notablySlow is the present run time, relative to the usual one, from which a
-	// target is logged as slow.
-	notablySlow = 2
-	// notablyFailing is the share of failures from which it is logged as failing.
+	// target is logged as slow, and notablyFailing the share of failures from which
+	// it is logged as failing.
+	notablySlow    = 2
 	notablyFailing = 0.15
+	// backPart is the part of these below which it is logged as well again, so that
+	// one on the verge is not logged with every answer.
+	backPart = 0.6
 )
 
 // stateOf names what the node believes of a target.
 func (r *record) stateOf(now time.Time) string {
+	slow, failing := float64(notablySlow), notablyFailing
+	switch r.state {
+	case stateSlow:
+		slow *= backPart
+	case stateFailing:
+		failing *= backPart
+	}
 	switch {
 	case now.Before(r.awayUntil):
 		return stateAway
-	case r.load.Failing >= notablyFailing:
+	case r.load.Failing >= failing:
 		return stateFailing
-	case r.load.Slow >= notablySlow:
+	case r.load.Slow >= slow:
 		return stateSlow
 	default:
 		return stateWell
--- a/plugins/sidecar/book_test.go
+++ b/plugins/sidecar/book_test.go
@@ -176,3 +176,18 @@
 	b.teach(target, 100*time.Millisecond, time.Millisecond, time.Now().Add(time.Minute))
 	g.Expect(states).To(Equal([]string{stateSlow, stateAway, stateWell}))
 }
+
+func TestATargetOnTheVergeOfSlowIsNotLoggedWithEveryAnswer(t *testing.T) {
+	g := NewWithT(t)
+	b := newTestBook()
+	logged := 0
+	b.log.Observe(func(event.Record) { logged++ })
+	target := targetAt(1)
+	for i := range 40 {
+		a := answered(200 * time.Millisecond)
+		a.Load.Slow = []float64{notablySlow - 0.1, notablySlow + 0.1}[i%2]
+		b.sent(target, begin)
+		b.ended(target, bookCall, a, 200*time.Millisecond, begin)
+	}
+	g.Expect(logged).To(Equal(1))
+}
