--- /dev/null
+++ b/plugins/replica/pack_bench_test.go
@@ -0,0 +1,37 @@
+package replica
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/bronzemast/bronzemast/model"
+)
+
+// routes is the number of routes of the benchmark's document.
+const routes = 1600
+
+// routesDocument returns a document whose first route has a timeout.
+func routesDocument(timeout string) []byte {
+	var b bytes.Buffer
+	for i := range routes {
+		if i > 0 {
+			timeout = "1000ms"
+		}
+		fmt.Fprintf(&b, `{"name":"r-%x","host":"a.example","prefix":"/%x/","kind":"safe","timeout":%q,"service":"alpha"},`, i*7919, i*104729, timeout)
+	}
+	return b.Bytes()
+}
+
+func BenchmarkPack(b *testing.B) {
+	base := model.Item{Key: "doc", Revision: 1, Data: routesDocument("1000ms")}
+	next := model.Item{Key: "doc", Revision: 2, Data: routesDocument("900ms")}
+	b.SetBytes(int64(len(next.Data)))
+	b.ReportAllocs()
+	size := 0
+	for b.Loop() {
+		var p packer
+		size = len(p.pack(packing{item: next, base: base}).Data)
+	}
+	b.ReportMetric(float64(size), "packed-bytes")
+}
