Names that say what they hold in the plug-in sidecar

The target-side role, an instance of a target, statistics of targets and the splitter of weighted routes had names of their own making. No behaviour changes.

--- a/plugins/sidecar/choice.go
+++ b/plugins/sidecar/choose.go
@@ -26,7 +26,7 @@
 }
 
 // choose returns the best of the targets that may get a call.
-func (b *book) choose(c *call, targets []*model.Target, random float64, now time.Time) choice {
+func (b *targetStats) choose(c *call, targets []*model.Target, random float64, now time.Time) choice {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	// A request that is late already is placed as if it had all of its time.
@@ -72,24 +72,24 @@
 	return ways * candidates[chosen].Distance
 }
 
-// parts spreads the requests of each route over its services by their weights.
-type parts struct {
+// splitter spreads the requests of each route over its services by their weights.
+type splitter struct {
 	mu     sync.Mutex
-	routes map[string]*turns
+	routes map[string]*roundRobin
 }
 
-// turns is the state of a smooth weighted round robin.
-type turns struct {
+// roundRobin is the state of a smooth weighted round robin.
+type roundRobin struct {
 	credit map[string]int
 }
 
-func newParts() *parts {
-	return &parts{routes: map[string]*turns{}}
+func newSplitter() *splitter {
+	return &splitter{routes: map[string]*roundRobin{}}
 }
 
 // choose returns the service that gets the next request of a route: the one that
 // is furthest behind its share.
-func (p *parts) choose(r *ingress.Route) string {
+func (p *splitter) choose(r *ingress.Route) string {
 	if len(r.Parts) == 1 {
 		return r.Parts[0].Service
 	}
@@ -97,7 +97,7 @@
 	defer p.mu.Unlock()
 	t := p.routes[r.Name]
 	if t == nil || len(t.credit) != len(r.Parts) {
-		t = &turns{credit: map[string]int{}}
+		t = &roundRobin{credit: map[string]int{}}
 		p.routes[r.Name] = t
 	}
 	total := 0
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -22,8 +22,8 @@
 	replica  model.Replica
 	metrics  *metrics
 	tracer   *tracer
-	book     *book
-	parts    *parts
+	stats    *targetStats
+	splitter *splitter
 	budgets  *budgets
 	sender   *sender
 	drain    *drain
@@ -54,8 +54,8 @@
 	// be tried again.
 	refused map[model.TargetID]bool
 	failed  map[model.TargetID]bool
-	// paid is set once the retry budget was charged for a further attempt.
-	paid atomic.Bool
+	// charged is set once the retry budget was charged for a further attempt.
+	charged atomic.Bool
 	// trace holds the log lines of the attempts so far.
 	trace []line
 }
@@ -107,7 +107,7 @@
 	if route == nil {
 		return nil, refuse(model.ReasonNoRoute)
 	}
-	if e.drain.closed() && !e.book.nested(route.Name) {
+	if e.drain.closed() && !e.stats.nested(route.Name) {
 		refusal := refuse(model.ReasonDraining)
 		refusal.RetryAfter = leastRetryAfter
 		return nil, refusal
@@ -128,7 +128,7 @@
 		header:        passedOn(r.Header),
 		body:          body,
 		route:         route,
-		service:       e.parts.choose(route),
+		service:       e.splitter.choose(route),
 		configuration: table.Number,
 		began:         began,
 		deadline:      began.Add(route.Timeout),
@@ -140,7 +140,7 @@
 		c.patience = head.Remaining
 		c.deadline = began.Add(min(head.Remaining, route.Timeout))
 	}
-	c.onTime = began.Add(route.Objective - e.book.elapsed(route.Name, head.Remaining))
+	c.onTime = began.Add(route.Objective - e.stats.elapsed(route.Name, head.Remaining))
 	return c, nil
 }
 
@@ -218,7 +218,7 @@
 		return false
 	case planRetry:
 		c.failed[t.ID] = true
-		if !c.paid.Swap(false) && !e.budgets.withdraw(c.service, time.Now()) {
+		if !c.charged.Swap(false) && !e.budgets.withdraw(c.service, time.Now()) {
 			e.metrics.budgetEmpty.Add(1)
 			return true
 		}
@@ -232,7 +232,7 @@
 // choose returns the target of the next attempt and how long the request may wait
 // there.
 func (e *entry) choose(c *call) choice {
-	chosen := e.book.choose(c, e.replica.Targets().ByService[c.service], rand.Float64(), time.Now())
+	chosen := e.stats.choose(c, e.replica.Targets().ByService[c.service], rand.Float64(), time.Now())
 	if c.hops+1 >= maxHops {
 		chosen.patience = c.route.Timeout
 	}
@@ -261,10 +261,10 @@
 		Patience:      chosen.patience,
 		Revision:      e.replica.Revision(),
 	}
-	e.book.sent(t, began)
+	e.stats.sent(t, began)
 	a := e.sender.send(ctx, t, h, c, chosen.candidate.Expected())
 	now := time.Now()
-	e.book.ended(t, c, a, now.Sub(began), now)
+	e.stats.ended(t, c, a, now.Sub(began), now)
 	if a.Handed {
 		c.handed++
 	}
--- a/plugins/sidecar/lane.go
+++ b/plugins/sidecar/instance.go
@@ -10,11 +10,11 @@
 	"github.com/bronzemast/bronzemast/plugins/sidecar/slotqueue"
 )
 
-// lane is the way to one incarnation of the local target: its slots, its queue
+// instance is one incarnation of the local target: its slots, its queue
 // and its connections.
-type lane struct {
-	instance model.TargetID
-	pool     *httpconn.Pool
+type instance struct {
+	id   model.TargetID
+	pool *httpconn.Pool
 
 	mu    sync.Mutex
 	queue *slotqueue.Queue
@@ -26,13 +26,13 @@
 	fails average
 }
 
-func newLane(instance model.TargetID, slots int, pool *httpconn.Pool) *lane {
-	l := &lane{
-		instance: instance,
-		pool:     pool,
-		queue:    slotqueue.New(slots),
-		work:     map[string]time.Duration{},
-		slow:     1,
+func newInstance(id model.TargetID, slots int, pool *httpconn.Pool) *instance {
+	l := &instance{
+		id:    id,
+		pool:  pool,
+		queue: slotqueue.New(slots),
+		work:  map[string]time.Duration{},
+		slow:  1,
 	}
 	l.timer = time.AfterFunc(time.Hour, l.expire)
 	l.timer.Stop()
@@ -69,7 +69,7 @@
 
 // enter waits for a slot. Without one it returns the time after which there may
 // be room.
-func (l *lane) enter(ctx context.Context, t *slotqueue.Ticket, patience time.Duration) (started bool, retryAfter time.Duration) {
+func (l *instance) enter(ctx context.Context, t *slotqueue.Ticket, patience time.Duration) (started bool, retryAfter time.Duration) {
 	w := &waiter{told: make(chan verdict, 1)}
 	t.Owner = w
 	l.mu.Lock()
@@ -92,7 +92,7 @@
 
 // abandon takes a request out of the queue. It returns true if it was started in
 // the meantime.
-func (l *lane) abandon(t *slotqueue.Ticket, w *waiter) bool {
+func (l *instance) abandon(t *slotqueue.Ticket, w *waiter) bool {
 	l.mu.Lock()
 	waiting := l.queue.Leave(t)
 	l.mu.Unlock()
@@ -103,7 +103,7 @@
 }
 
 // leave ends a request that was started and starts those that have waited.
-func (l *lane) leave(t *slotqueue.Ticket) {
+func (l *instance) leave(t *slotqueue.Ticket) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	tell(l.queue.Done(t, time.Now()), verdict{started: true})
@@ -111,7 +111,7 @@
 }
 
 // resize changes the number of slots.
-func (l *lane) resize(slots int) {
+func (l *instance) resize(slots int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if slots != l.queue.Limit() {
@@ -121,7 +121,7 @@
 }
 
 // expire refuses the requests whose time to start has passed.
-func (l *lane) expire() {
+func (l *instance) expire() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -131,7 +131,7 @@
 }
 
 // arm sets the timer to the next expiry. The caller holds mu.
-func (l *lane) arm() {
+func (l *instance) arm() {
 	at, ok := l.queue.NextExpiry()
 	if !ok {
 		l.timer.Stop()
@@ -148,7 +148,7 @@
 
 // expected returns how long the target is expected to work on a request of a
 // route, a part of the objective while there is no experience.
-func (l *lane) expected(route string, objective time.Duration) time.Duration {
+func (l *instance) expected(route string, objective time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	work, ok := l.work[route]
@@ -159,7 +159,7 @@
 }
 
 // ended takes in a run that ended with a whole answer.
-func (l *lane) ended(route string, worked time.Duration) {
+func (l *instance) ended(route string, worked time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	usual := time.Duration(float64(worked) / l.slow)
@@ -174,7 +174,7 @@
 
 // unfinished takes in a run that was broken off after a time. It tells something
 // only if it had taken longer by then than expected.
-func (l *lane) unfinished(route string, worked time.Duration) {
+func (l *instance) unfinished(route string, worked time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	mean, known := l.work[route]
@@ -187,7 +187,7 @@
 }
 
 // pace takes in a run time relative to the mean of its route. The caller holds mu.
-func (l *lane) pace(sample float64) {
+func (l *instance) pace(sample float64) {
 	sample = min(sample, mostSlow)
 	weight := slowWeight
 	if sample > surprise*l.slow || l.slow > surprise*sample {
@@ -197,14 +197,14 @@
 }
 
 // failed counts whether the target failed a request.
-func (l *lane) failed(failed bool) {
+func (l *instance) failed(failed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fails.add(failed, time.Now())
 }
 
 // load returns the state of the target.
-func (l *lane) load() load {
+func (l *instance) load() load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return load{
@@ -218,7 +218,7 @@
 }
 
 // close closes the connections once they are unused.
-func (l *lane) close() {
+func (l *instance) close() {
 	l.pool.Close()
 }
 
--- a/plugins/sidecar/sender.go
+++ b/plugins/sidecar/sender.go
@@ -24,17 +24,17 @@
 
 // sender hands requests to the nodes beside their targets.
 type sender struct {
-	settings *live
-	self     netip.Addr
-	peerPort string
-	replica  model.Replica
-	gate     *gate
-	prober   *prober
+	settings   *live
+	self       netip.Addr
+	peerPort   string
+	replica    model.Replica
+	targetSide *targetSide
+	prober     *prober
 	// away is called for a target whose node does not answer.
 	away func(t *model.Target)
-	// pay takes a retry from the budget of a service, if there is one left.
-	pay  func(service string) bool
-	dial func(ctx context.Context, address string) (net.Conn, error)
+	// charge takes a retry from the budget of a service, if there is one left.
+	charge func(service string) bool
+	dial   func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
 	pools map[netip.Addr]*httpconn.Pool
@@ -44,7 +44,7 @@
 // is the time after which the answer is expected.
 func (s *sender) send(ctx context.Context, t *model.Target, h *handover, c *call, expected time.Duration) *answer {
 	if t.Address.Addr() == s.self {
-		a := s.gate.run(ctx, h, c.header.Clone(), c.body)
+		a := s.targetSide.run(ctx, h, c.header.Clone(), c.body)
 		a.Version = handoverVersion
 		return a
 	}
@@ -91,8 +91,8 @@
 	host := t.Address.Addr()
 	watch := &silence{prober: s.prober, host: host, address: s.peerAddress(host), lost: func() {
 		s.away(t)
-		if c.route.Idempotent && c.body.whole() && c.handed+1 < c.route.Attempts && s.pay(c.service) {
-			c.paid.Store(true)
+		if c.route.Idempotent && c.body.whole() && c.handed+1 < c.route.Attempts && s.charge(c.service) {
+			c.charged.Store(true)
 			cancel(errPeerSilent)
 		}
 	}}
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -76,14 +76,14 @@
 // Sidecar carries requests.
 type Sidecar struct {
 	// settings are those of the start, live those in force.
-	settings Settings
-	live     live
-	doc      *jsonc.Document
-	entry    *entry
-	gate     *gate
-	drain    *drain
-	tracer   *tracer
-	run      func(duty string, run func(ctx context.Context))
+	settings   Settings
+	live       live
+	doc        *jsonc.Document
+	entry      *entry
+	targetSide *targetSide
+	drain      *drain
+	tracer     *tracer
+	run        func(duty string, run func(ctx context.Context))
 }
 
 func newSidecar() *Sidecar {
@@ -133,18 +133,18 @@
 	s.tracer = newTracer(ctx.Log(), s.settings.LogLines)
 	s.run = ctx.Go
 	m := newMetrics(ctx.Metrics())
-	s.gate = &gate{
-		address:  target,
-		peerPort: peerPort,
-		settings: &s.live,
-		exchange: exchange,
-		replica:  replica,
-		metrics:  m,
-		tracer:   s.tracer,
-		drain:    s.drain,
-		dial:     transport.DialTarget,
-		lanes:    map[model.TargetID]*lane{},
-		origins:  nesting.New(),
+	s.targetSide = &targetSide{
+		address:   target,
+		peerPort:  peerPort,
+		settings:  &s.live,
+		exchange:  exchange,
+		replica:   replica,
+		metrics:   m,
+		tracer:    s.tracer,
+		drain:     s.drain,
+		dial:      transport.DialTarget,
+		instances: map[model.TargetID]*instance{},
+		origins:   nesting.New(),
 	}
 	s.entry = &entry{
 		host:     ctx.Host(),
@@ -153,25 +153,25 @@
 		replica:  replica,
 		metrics:  m,
 		tracer:   s.tracer,
-		book:     newBook(peer.Addr(), ctx.Host().Domain, ctx.Log()),
-		parts:    newParts(),
+		stats:    newTargetStats(peer.Addr(), ctx.Host().Domain, ctx.Log()),
+		splitter: newSplitter(),
 		budgets:  newBudgets(&s.live, func() int { return len(replica.Targets().Hosts) }),
 		drain:    s.drain,
 	}
 	s.entry.sender = &sender{
-		settings: &s.live,
-		self:     peer.Addr(),
-		peerPort: peerPort,
-		replica:  replica,
-		gate:     s.gate,
-		prober:   &prober{settings: &s.live, dial: transport.DialPeer, hosts: map[netip.Addr]*probed{}},
-		away:     s.entry.book.away,
-		pay:      func(service string) bool { return s.entry.budgets.withdraw(service, time.Now()) },
-		dial:     transport.DialPeer,
-		pools:    map[netip.Addr]*httpconn.Pool{},
+		settings:   &s.live,
+		self:       peer.Addr(),
+		peerPort:   peerPort,
+		replica:    replica,
+		targetSide: s.targetSide,
+		prober:     &prober{settings: &s.live, dial: transport.DialPeer, hosts: map[netip.Addr]*probed{}},
+		away:       s.entry.stats.away,
+		charge:     func(service string) bool { return s.entry.budgets.withdraw(service, time.Now()) },
+		dial:       transport.DialPeer,
+		pools:      map[netip.Addr]*httpconn.Pool{},
 	}
 	transport.HandleCalls(s.entry)
-	transport.HandlePeer("POST "+pathHandover, s.gate)
+	transport.HandlePeer("POST "+pathHandover, s.targetSide)
 	transport.HandlePeer("GET "+pathAlive, http.HandlerFunc(serveAlive))
 	replica.Subscribe(s.retain)
 	s.requireServing(ctx)
@@ -180,8 +180,8 @@
 
 // retain forgets what is gone from the list of targets.
 func (s *Sidecar) retain(list *model.TargetList) {
-	s.gate.retain(list)
-	s.entry.book.retain(list)
+	s.targetSide.retain(list)
+	s.entry.stats.retain(list)
 	s.entry.sender.retain(list)
 }
 
--- a/plugins/sidecar/gate.go
+++ b/plugins/sidecar/targetside.go
@@ -19,9 +19,9 @@
 	"github.com/pkg/errors"
 )
 
-// gate is the role of the node beside a target. It is the only way to the target,
+// targetSide is the role of the node beside a target. It is the only way to the target,
 // so it alone knows how many requests run there.
-type gate struct {
+type targetSide struct {
 	address  netip.AddrPort
 	peerPort string
 	settings *live
@@ -32,9 +32,9 @@
 	drain    *drain
 	dial     func(ctx context.Context, address string) (net.Conn, error)
 
-	mu      sync.Mutex
-	lanes   map[model.TargetID]*lane
-	origins *nesting.Learner
+	mu        sync.Mutex
+	instances map[model.TargetID]*instance
+	origins   *nesting.Learner
 }
 
 // answer is how an attempt ended at a target.
@@ -62,9 +62,9 @@
 
 // run takes in a request for the target and waits for its whole answer, or for
 // the head of a long one.
-func (g *gate) run(ctx context.Context, h *handover, header http.Header, body *message) *answer {
+func (g *targetSide) run(ctx context.Context, h *handover, header http.Header, body *message) *answer {
 	began := time.Now()
-	s := &stay{nested: g.nested(h)}
+	s := &admission{nested: g.nested(h)}
 	a := g.admit(ctx, h, s, header, body)
 	a.Nested = s.nested
 	a.Held = time.Since(began)
@@ -72,8 +72,8 @@
 	return a
 }
 
-// stay is what happens to a request at the target side.
-type stay struct {
+// admission is what happens to a request at the target side.
+type admission struct {
 	// nested is set if the request seems to be a call of a target.
 	nested bool
 	// late, expected and startWithin are how it asked for a slot.
@@ -86,15 +86,15 @@
 }
 
 // nested reports whether a request seems to be a call of a target.
-func (g *gate) nested(h *handover) bool {
+func (g *targetSide) nested(h *handover) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.origins.Observe(h.Route, h.CallerService)
 	return g.origins.Nested(h.Route)
 }
 
-func (g *gate) admit(ctx context.Context, h *handover, s *stay, header http.Header, body *message) *answer {
-	l, reason := g.lane(h)
+func (g *targetSide) admit(ctx context.Context, h *handover, s *admission, header http.Header, body *message) *answer {
+	l, reason := g.instanceOf(h)
 	if l == nil {
 		a := refused(reason)
 		a.Load.Leaving = reason == model.ReasonDraining
@@ -116,7 +116,7 @@
 	return a
 }
 
-func (g *gate) runIn(ctx context.Context, l *lane, h *handover, s *stay, header http.Header, body *message) *answer {
+func (g *targetSide) runIn(ctx context.Context, l *instance, h *handover, s *admission, header http.Header, body *message) *answer {
 	s.met = l.load()
 	s.expected = l.expected(h.Route, h.Objective)
 	arrived := time.Now()
@@ -155,7 +155,7 @@
 }
 
 // ticket describes the request to the queue; nil if it cannot end in time.
-func ticket(h *handover, s *stay, now time.Time) *slotqueue.Ticket {
+func ticket(h *handover, s *admission, now time.Time) *slotqueue.Ticket {
 	if h.Remaining <= s.expected/2 {
 		return nil
 	}
@@ -172,9 +172,9 @@
 	return t
 }
 
-// lane returns the way to the instance that must run the request, nil and the
+// instanceOf returns the instance that must run the request, nil and the
 // reason if it takes no requests.
-func (g *gate) lane(h *handover) (*lane, model.Reason) {
+func (g *targetSide) instanceOf(h *handover) (*instance, model.Reason) {
 	if g.gone(h) {
 		return nil, model.ReasonDraining
 	}
@@ -187,10 +187,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := g.lanes[h.Instance]
+	l := g.instances[h.Instance]
 	if l == nil {
-		l = newLane(h.Instance, max(slots, 1), g.pool())
-		g.lanes[h.Instance] = l
+		l = newInstance(h.Instance, max(slots, 1), g.pool())
+		g.instances[h.Instance] = l
 	}
 	if slots > 0 {
 		l.resize(slots)
@@ -198,7 +198,7 @@
 	return l, model.ReasonNone
 }
 
-func (g *gate) pool() *httpconn.Pool {
+func (g *targetSide) pool() *httpconn.Pool {
 	address := g.address.String()
 	dial := func(ctx context.Context) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, g.settings.Load().ConnectTimeout.Std())
@@ -210,7 +210,7 @@
 
 // gone reports whether the instance leaves or has left, as the node's own list
 // says unless the sender has a later one.
-func (g *gate) gone(h *handover) bool {
+func (g *targetSide) gone(h *handover) bool {
 	if g.drain.closed() {
 		return true
 	}
@@ -221,20 +221,20 @@
 	return g.replica.Revision() >= h.Revision
 }
 
-// retain drops the lanes of instances that are gone.
-func (g *gate) retain(list *model.TargetList) {
+// retain drops the instances that are gone.
+func (g *targetSide) retain(list *model.TargetList) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for id, l := range g.lanes {
+	for id, l := range g.instances {
 		if list.ByID[id] == nil {
 			l.close()
-			delete(g.lanes, id)
+			delete(g.instances, id)
 		}
 	}
 }
 
 // call sends a request that has a slot to the target.
-func (g *gate) call(ctx context.Context, l *lane, h *handover, header http.Header, body *message) *answer {
+func (g *targetSide) call(ctx context.Context, l *instance, h *handover, header http.Header, body *message) *answer {
 	began := time.Now()
 	remaining := h.Remaining
 	if deadline, ok := ctx.Deadline(); ok {
@@ -270,7 +270,7 @@
 }
 
 // unanswered judges a request without an answer of the target.
-func (g *gate) unanswered(ctx context.Context, l *lane, h *handover, err error) *answer {
+func (g *targetSide) unanswered(ctx context.Context, l *instance, h *handover, err error) *answer {
 	var failure *httpconn.Error
 	if errors.As(err, &failure) && !failure.Sent {
 		if ctx.Err() != nil {
@@ -294,7 +294,7 @@
 }
 
 // take reads the answer of the target and judges it.
-func (g *gate) take(ctx context.Context, l *lane, h *handover, response *http.Response, began time.Time) *answer {
+func (g *targetSide) take(ctx context.Context, l *instance, h *handover, response *http.Response, began time.Time) *answer {
 	head := g.exchange.Answer(response.StatusCode, response.Header)
 	g.learnIdle(l, response.Header)
 	body, err := readMessage(response.Body, answerLength(response, h.Method), 0)
@@ -342,7 +342,7 @@
 }
 
 // learnIdle keeps unused connections for less than the target does.
-func (g *gate) learnIdle(l *lane, h http.Header) {
+func (g *targetSide) learnIdle(l *instance, h http.Header) {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
 		value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
 		if !ok {
@@ -363,7 +363,7 @@
 )
 
 // ServeHTTP takes in a request from another node.
-func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (g *targetSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.drain.enter()
 	defer g.drain.leave()
 	h, err := decodeHandover(r.Header.Get(headerHandover))
@@ -414,4 +414,4 @@
 }
 
 // Interface guard.
-var _ http.Handler = (*gate)(nil)
+var _ http.Handler = (*targetSide)(nil)
--- a/plugins/sidecar/book.go
+++ b/plugins/sidecar/targetstats.go
@@ -12,8 +12,8 @@
 	"github.com/bronzemast/bronzemast/plugins/sidecar/placement"
 )
 
-// book is what the node has learnt of the targets from the answers that it got.
-type book struct {
+// targetStats is what the node has learnt of the targets from the answers that it got.
+type targetStats struct {
 	self   netip.Addr
 	domain string
 	log    *event.Log
@@ -81,8 +81,8 @@
 	longestAway  = 2 * time.Second
 )
 
-func newBook(self netip.Addr, domain string, log *event.Log) *book {
-	return &book{
+func newTargetStats(self netip.Addr, domain string, log *event.Log) *targetStats {
+	return &targetStats{
 		self:    self,
 		domain:  domain,
 		log:     log,
@@ -92,7 +92,7 @@
 }
 
 // retain forgets the targets that are gone.
-func (b *book) retain(list *model.TargetList) {
+func (b *targetStats) retain(list *model.TargetList) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id := range b.targets {
@@ -102,7 +102,7 @@
 	}
 }
 
-func (b *book) target(t *model.Target, now time.Time) *record {
+func (b *targetStats) target(t *model.Target, now time.Time) *record {
 	r := b.targets[t.ID]
 	if r == nil {
 		r = &record{pace: 1, learntAt: now, coldUntil: now.Add(t.Cold), distance: firstDistance}
@@ -114,7 +114,7 @@
 	return r
 }
 
-func (b *book) route(name string) *routeRecord {
+func (b *targetStats) route(name string) *routeRecord {
 	r := b.routes[name]
 	if r == nil {
 		r = &routeRecord{}
@@ -125,7 +125,7 @@
 
 // elapsed returns how long a caller has been trying, by the time that it still
 // waits and the longest one that callers of the route wait.
-func (b *book) elapsed(route string, remaining time.Duration) time.Duration {
+func (b *targetStats) elapsed(route string, remaining time.Duration) time.Duration {
 	if remaining <= 0 {
 		return 0
 	}
@@ -137,7 +137,7 @@
 }
 
 // nested reports whether a route carries calls of targets.
-func (b *book) nested(route string) bool {
+func (b *targetStats) nested(route string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.route(route).nested
@@ -145,7 +145,7 @@
 
 // work returns the mean run time of a route, a part of the objective while there is
 // no experience. The caller holds mu.
-func (b *book) work(route string, objective time.Duration) time.Duration {
+func (b *targetStats) work(route string, objective time.Duration) time.Duration {
 	if work := b.route(route).work; work > 0 {
 		return work
 	}
@@ -154,7 +154,7 @@
 
 // turnover is the time within which a busy target is expected to end a few runs.
 // The caller holds mu.
-func (b *book) turnover(t *model.Target, route *ingress.Route) time.Duration {
+func (b *targetStats) turnover(t *model.Target, route *ingress.Route) time.Duration {
 	return turnoverRuns * b.work(route.Name, route.Objective) / time.Duration(max(t.Slots, 1))
 }
 
@@ -163,13 +163,13 @@
 
 // full reports whether a target is known to refuse requests of a rank. Calls of
 // targets go before all others, so nothing is known of them.
-func (b *book) full(t *model.Target, c *call, now time.Time) bool {
+func (b *targetStats) full(t *model.Target, c *call, now time.Time) bool {
 	r := b.target(t, now)
 	return now.Before(r.fullUntil) && c.route.Rank >= r.fullRank && !b.route(c.route.Name).nested
 }
 
 // candidate describes a target to the placement of a request.
-func (b *book) candidate(t *model.Target, route string, objective, onTime time.Duration, now time.Time) placement.Candidate {
+func (b *targetStats) candidate(t *model.Target, route string, objective, onTime time.Duration, now time.Time) placement.Candidate {
 	r := b.target(t, now)
 	work := b.work(route, objective)
 	slow := 1 + (r.load.Slow-1)*halved(now.Sub(r.at), slowHalfLife)
@@ -201,7 +201,7 @@
 }
 
 // sent counts a request that goes to a target.
-func (b *book) sent(t *model.Target, now time.Time) {
+func (b *targetStats) sent(t *model.Target, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.target(t, now)
@@ -210,7 +210,7 @@
 }
 
 // ended takes in how an attempt ended.
-func (b *book) ended(t *model.Target, c *call, a *answer, took time.Duration, now time.Time) {
+func (b *targetStats) ended(t *model.Target, c *call, a *answer, took time.Duration, now time.Time) {
 	route := c.route.Name
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -250,7 +250,7 @@
 
 // learnWork takes in a run: the usual pace of the target, and the mean of the route
 // over all targets. What the target's node tells of the present is left out.
-func (b *book) learnWork(r *record, route string, worked time.Duration) {
+func (b *targetStats) learnWork(r *record, route string, worked time.Duration) {
 	usual := float64(worked) / max(r.load.Slow, leastPace)
 	rr := b.route(route)
 	if rr.work == 0 {
@@ -264,7 +264,7 @@
 const leastPace = 0.1
 
 // away keeps requests from a target whose node does not answer.
-func (b *book) away(t *model.Target) {
+func (b *targetStats) away(t *model.Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -314,7 +314,7 @@
 }
 
 // noteState logs a change of belief. The caller holds mu; the log does not block.
-func (b *book) noteState(t *model.Target, r *record, now time.Time) {
+func (b *targetStats) noteState(t *model.Target, r *record, now time.Time) {
 	state := r.stateOf(now)
 	if state == r.state || r.state == "" && state == stateWell {
 		return
--- a/plugins/sidecar/book_test.go
+++ b/plugins/sidecar/targetstats_test.go
@@ -15,8 +15,8 @@
 )
 
 var (
-	begin    = time.Unix(1_000_000, 0)
-	bookCall = &call{
+	begin     = time.Unix(1_000_000, 0)
+	statsCall = &call{
 		route:   &ingress.Route{Name: "r", Objective: 600 * time.Millisecond, Timeout: 2 * time.Second},
 		onTime:  begin.Add(600 * time.Millisecond),
 		refused: map[model.TargetID]bool{},
@@ -32,10 +32,10 @@
 	}
 }
 
-func newTestBook() *book {
+func newTestStats() *targetStats {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	return newBook(netip.MustParseAddr("10.0.0.99"), "d", event.NewLog(logrus.NewEntry(logger)))
+	return newTargetStats(netip.MustParseAddr("10.0.0.99"), "d", event.NewLog(logrus.NewEntry(logger)))
 }
 
 // answered returns the end of a good run.
@@ -47,18 +47,18 @@
 }
 
 // teach lets both targets answer some requests, each in its time and on its way.
-func (b *book) teach(t *model.Target, worked, way time.Duration, now time.Time) {
+func (b *targetStats) teach(t *model.Target, worked, way time.Duration, now time.Time) {
 	for range 20 {
 		b.sent(t, now)
-		b.ended(t, bookCall, answered(worked), worked+way, now)
+		b.ended(t, statsCall, answered(worked), worked+way, now)
 	}
 }
 
 // chosen returns how many of 100 requests go to each target.
-func (b *book) chosen(now time.Time, targets ...*model.Target) map[model.TargetID]int {
+func (b *targetStats) chosen(now time.Time, targets ...*model.Target) map[model.TargetID]int {
 	counts := map[model.TargetID]int{}
 	for i := range 100 {
-		if found := b.choose(bookCall, targets, float64(i)/100, now); found.target != nil {
+		if found := b.choose(statsCall, targets, float64(i)/100, now); found.target != nil {
 			counts[found.target.ID]++
 		}
 	}
@@ -67,35 +67,35 @@
 
 func TestATargetWhoseAnswerWasHeldUpOnceGetsRequestsAgain(t *testing.T) {
 	g := NewWithT(t)
-	b := newTestBook()
+	b := newTestStats()
 	held, other := targetAt(1), targetAt(2)
 	b.teach(held, 100*time.Millisecond, time.Millisecond, begin)
 	b.teach(other, 100*time.Millisecond, time.Millisecond, begin)
 	b.sent(held, begin)
-	b.ended(held, bookCall, answered(100*time.Millisecond), 10*time.Second, begin)
+	b.ended(held, statsCall, answered(100*time.Millisecond), 10*time.Second, begin)
 	g.Expect(b.chosen(begin.Add(time.Minute), held, other)[held.ID]).To(BeNumerically(">=", 40))
 }
 
 func TestASlowTargetIsAvoidedAndTriedAgainLater(t *testing.T) {
 	g := NewWithT(t)
-	b := newTestBook()
+	b := newTestStats()
 	slow, other := targetAt(1), targetAt(2)
 	b.teach(other, 100*time.Millisecond, time.Millisecond, begin)
 	b.teach(slow, 100*time.Millisecond, time.Millisecond, begin)
 	a := answered(time.Second)
 	a.Load.Slow = 10
 	b.sent(slow, begin)
-	b.ended(slow, bookCall, a, time.Second, begin)
+	b.ended(slow, statsCall, a, time.Second, begin)
 	g.Expect(b.chosen(begin, slow, other)[slow.ID]).To(BeZero())
 	g.Expect(b.chosen(begin.Add(time.Minute), slow, other)[slow.ID]).To(BeNumerically(">", 0))
 }
 
 func TestATargetThatDoesNotAnswerIsPutOffForAWhile(t *testing.T) {
 	g := NewWithT(t)
-	b := newTestBook()
+	b := newTestStats()
 	away, other := targetAt(1), targetAt(2)
 	b.sent(away, begin)
-	b.ended(away, bookCall, refused(model.ReasonUnreachable), 0, begin)
+	b.ended(away, statsCall, refused(model.ReasonUnreachable), 0, begin)
 	g.Expect(b.chosen(begin, away, other)[away.ID]).To(BeZero())
 	g.Expect(b.chosen(begin, away)[away.ID]).To(Equal(100), "there is no other one")
 	g.Expect(b.chosen(begin.Add(firstAway), away, other)[away.ID]).To(BeNumerically(">", 0))
@@ -103,28 +103,28 @@
 
 func TestAFullTargetIsNotAskedAgainAtOnce(t *testing.T) {
 	g := NewWithT(t)
-	b := newTestBook()
+	b := newTestStats()
 	full := targetAt(1)
 	b.teach(full, 100*time.Millisecond, time.Millisecond, begin)
 	a := refused(model.ReasonOverloaded)
 	a.Version, a.FullFor, a.Load = handoverVersion, time.Second, load{Running: 10, Slots: 10, Slow: 1, Wait: 40 * time.Millisecond}
 	b.sent(full, begin)
-	b.ended(full, bookCall, a, time.Millisecond, begin)
-	found := b.choose(bookCall, []*model.Target{full}, 0, begin)
+	b.ended(full, statsCall, a, time.Millisecond, begin)
+	found := b.choose(statsCall, []*model.Target{full}, 0, begin)
 	g.Expect(found.target).To(BeNil())
 	g.Expect(found.fullFor).To(Equal(40 * time.Millisecond))
-	found = b.choose(bookCall, []*model.Target{full}, 0, begin.Add(20*time.Millisecond))
+	found = b.choose(statsCall, []*model.Target{full}, 0, begin.Add(20*time.Millisecond))
 	g.Expect(found.target).NotTo(BeNil(), "two runs end in that time")
-	urgent := &call{route: &ingress.Route{Name: "urgent", Rank: -1, Objective: time.Second}, onTime: bookCall.onTime}
+	urgent := &call{route: &ingress.Route{Name: "urgent", Rank: -1, Objective: time.Second}, onTime: statsCall.onTime}
 	g.Expect(b.choose(urgent, []*model.Target{full}, 0, begin).target).NotTo(BeNil(), "a lower rank was refused")
 }
 
 func TestLeavingAndFailedTargetsAreNotChosen(t *testing.T) {
 	g := NewWithT(t)
-	b := newTestBook()
+	b := newTestStats()
 	leaving, failed, left := targetAt(1), targetAt(2), targetAt(3)
 	leaving.Leaving = true
-	c := &call{route: bookCall.route, onTime: bookCall.onTime, failed: map[model.TargetID]bool{failed.ID: true}}
+	c := &call{route: statsCall.route, onTime: statsCall.onTime, failed: map[model.TargetID]bool{failed.ID: true}}
 	for i := range 10 {
 		g.Expect(b.choose(c, []*model.Target{leaving, failed, left}, float64(i)/10, begin).target).To(Equal(left))
 	}
@@ -133,7 +133,7 @@
 
 func TestTheTimeSinceTheFirstAttemptIsLearnt(t *testing.T) {
 	g := NewWithT(t)
-	b := newTestBook()
+	b := newTestStats()
 	g.Expect(b.elapsed("r", 4*time.Second)).To(BeZero())
 	g.Expect(b.elapsed("r", 3*time.Second)).To(Equal(time.Second))
 	g.Expect(b.elapsed("r", 0)).To(BeZero(), "the caller does not say")
@@ -141,12 +141,12 @@
 
 func TestOneFailureDoesNotMakeATargetAvoided(t *testing.T) {
 	g := NewWithT(t)
-	l := newLane("i-1", 10, nil)
+	l := newInstance("i-1", 10, nil)
 	for range 20 {
 		l.failed(false)
 	}
 	l.failed(true)
-	b := newTestBook()
+	b := newTestStats()
 	failedOnce, other := targetAt(1), targetAt(2)
 	for _, target := range []*model.Target{failedOnce, other} {
 		b.teach(target, 100*time.Millisecond, time.Millisecond, begin)
@@ -155,13 +155,13 @@
 	a.Load.Failing = l.load().Failing
 	g.Expect(a.Load.Failing).To(BeNumerically(">", 0))
 	b.sent(failedOnce, begin)
-	b.ended(failedOnce, bookCall, a, 101*time.Millisecond, begin)
+	b.ended(failedOnce, statsCall, a, 101*time.Millisecond, begin)
 	g.Expect(b.chosen(begin, failedOnce, other)[failedOnce.ID]).To(BeNumerically(">=", 40))
 }
 
 func TestAChangeOfBeliefIsLoggedOnce(t *testing.T) {
 	g := NewWithT(t)
-	b := newTestBook()
+	b := newTestStats()
 	var states []string
 	b.log.Observe(func(r event.Record) { states = append(states, r.Fields["state"].(string)) })
 	target := targetAt(1)
@@ -170,7 +170,7 @@
 	slow.Load.Slow = 5
 	for range 3 {
 		b.sent(target, begin)
-		b.ended(target, bookCall, slow, time.Second, begin)
+		b.ended(target, statsCall, slow, time.Second, begin)
 	}
 	b.away(target)
 	b.teach(target, 100*time.Millisecond, time.Millisecond, time.Now().Add(time.Minute))
@@ -179,7 +179,7 @@
 
 func TestATargetOnTheVergeOfSlowIsNotLoggedWithEveryAnswer(t *testing.T) {
 	g := NewWithT(t)
-	b := newTestBook()
+	b := newTestStats()
 	logged := 0
 	b.log.Observe(func(event.Record) { logged++ })
 	target := targetAt(1)
@@ -187,7 +187,7 @@
 		a := answered(200 * time.Millisecond)
 		a.Load.Slow = []float64{notablySlow - 0.1, notablySlow + 0.1}[i%2]
 		b.sent(target, begin)
-		b.ended(target, bookCall, a, 200*time.Millisecond, begin)
+		b.ended(target, statsCall, a, 200*time.Millisecond, begin)
 	}
 	g.Expect(logged).To(Equal(1))
 }
--- a/plugins/sidecar/trace.go
+++ b/plugins/sidecar/trace.go
@@ -110,7 +110,7 @@
 }
 
 // taken logs what the target side made of a request.
-func (t *tracer) taken(h *handover, s *stay, a *answer, revision uint64) {
+func (t *tracer) taken(h *handover, s *admission, a *answer, revision uint64) {
 	notable := a.Outcome != model.OutcomeRan || a.Failed || a.Held > slowPart*h.Objective
 	if !wanted(h.ID, notable) {
 		return
