--- a/plugins/sidecar/silence_test.go
+++ b/plugins/sidecar/silence_test.go
@@ -30,16 +30,23 @@
 
 var local = netip.MustParseAddr("127.0.0.1")
 
-func TestANodeThatRunsIsNotLost(t *testing.T) {
-	g := NewWithT(t)
-	var asked atomic.Int32
+// aliveNode serves the question of other nodes and counts how often it is asked.
+func aliveNode(t *testing.T) (address string, asked *atomic.Int32) {
+	t.Helper()
+	asked = &atomic.Int32{}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked.Add(1)
 		serveAlive(w, r)
 	}))
-	defer server.Close()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), asked
+}
+
+func TestANodeThatRunsIsNotLost(t *testing.T) {
+	g := NewWithT(t)
+	address, asked := aliveNode(t)
 	var lost atomic.Bool
-	s := &silence{prober: newProber(), host: local, address: server.Listener.Addr().String(), lost: func() { lost.Store(true) }}
+	s := &silence{prober: newProber(), host: local, address: address, lost: func() { lost.Store(true) }}
 	s.watch(time.Millisecond)
 	g.Eventually(asked.Load, 5*time.Second).Should(BeNumerically(">=", 2))
 	s.end()
@@ -69,15 +76,10 @@
 
 func TestRequestsToOneNodeShareAnAnswer(t *testing.T) {
 	g := NewWithT(t)
-	var asked atomic.Int32
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		asked.Add(1)
-		serveAlive(w, r)
-	}))
-	defer server.Close()
+	address, asked := aliveNode(t)
 	p := newProber()
 	for range 20 {
-		g.Expect(p.alive(local, server.Listener.Addr().String())).To(BeTrue())
+		g.Expect(p.alive(local, address)).To(BeTrue())
 	}
 	g.Expect(asked.Load()).To(BeNumerically("<=", 2))
 }
