--- a/plugins/sidecar/message.go
+++ b/plugins/sidecar/message.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -104,6 +105,26 @@
 	}
 }
 
+// writeMessage writes an answer. A body that ends early aborts the connection, so
+// that it never looks whole.
+func writeMessage(w http.ResponseWriter, status int, body *message, method string) {
+	if body == nil {
+		body = &message{}
+	}
+	if body.length >= 0 && status != http.StatusNoContent && status != http.StatusNotModified && method != http.MethodHead {
+		w.Header()["Content-Length"] = []string{strconv.FormatInt(body.length, 10)}
+	}
+	w.WriteHeader(status)
+	reader := body.reader()
+	if reader == nil {
+		return
+	}
+	n, err := io.Copy(w, reader)
+	if err != nil || body.length >= 0 && n != body.length {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // connectionHeaders concern one connection and are not passed on.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
