--- a/test/sidecar/fleet_test.go
+++ b/test/sidecar/fleet_test.go
@@ -147,7 +147,7 @@
 		"target": map[string]any{"address": h.at(workerPort)},
 		"plugins": map[string]any{
 			"clearplate": map[string]any{"store": f.server.Listener.Addr().String(), "ready": h.at(readyPort)},
-			"sidecar":    map[string]any{"grace": "6s", "linger": "1s"},
+			"sidecar":    map[string]any{"grace": "6s", "linger": "1s", "log_lines": 1000},
 		},
 	}
 	data, err := json.Marshal(settings)
