--- a/model/exchange.go
+++ b/model/exchange.go
@@ -56,6 +56,23 @@
 	Encoded bool
 	// Load is the load that the target reports for itself, nil if it reports none.
 	Load *TargetLoad
+	// Limit is the request rate that the target accepts from all nodes together.
+	Limit RateLimit
+	// Leaving is set when the target announces its shutdown.
+	Leaving bool
+	// UnknownHeaders holds the names of headers that only the target's protocol defines and
+	// that this program does not know.
+	UnknownHeaders []string
+}
+
+// RateLimit is the limit on its requests that a target names in an answer. The zero value
+// is an answer that names none.
+type RateLimit struct {
+	// Named is set if the answer names a limit of Rate requests per second.
+	Named bool
+	Rate  float64
+	// Invalid is the text of a limit that is not a rate; empty otherwise.
+	Invalid string
 }
 
 // TargetLoad is the load that a target reports for itself: the requests that it runs,
--- a/plugins/sidecar/events.go
+++ b/plugins/sidecar/events.go
@@ -54,6 +54,22 @@
 		Meaning: "The entry node has rejected a request before selecting a target: no route matches its authority and path, the node has no configuration yet or is draining, or the request cannot be read or is too large. The field configuration is 0 if there is none.",
 		Action:  "For no-route, compare the authority and path with the configuration of that number; another node may have a later one.",
 	})
+	eventAnnounced = event.Define(event.Event{
+		Number:  2207,
+		Level:   logrus.InfoLevel,
+		Message: "target announcement changed",
+		Fields:  []string{"target", "limit", "invalid", "leaving", "source"},
+		Meaning: "The answers of the host's own target announce something else than before: limit is the number of requests per second that it accepts from all nodes together, -1 if it names none, and invalid the text of a limit that is not a rate and is ignored. leaving is set when it announces its shutdown. source is answer, or peer if another node has passed it on.",
+		Action:  "Find out why the target limits its requests. A limit that is not a rate is a fault of the target.",
+	})
+	eventUnknownHeader = event.Define(event.Event{
+		Number:  2208,
+		Level:   logrus.WarnLevel,
+		Message: "unknown header of the target",
+		Fields:  []string{"target", "header"},
+		Meaning: "An answer of the host's own target has a header by which targets describe themselves and that this version does not know. It is logged once for each name.",
+		Action:  "Check whether the platform's protocol has changed; a later version of the node may act on the header.",
+	})
 	eventDrain = event.Define(event.Event{
 		Number:  2205,
 		Level:   logrus.InfoLevel,
--- a/plugins/sidecar/instance.go
+++ b/plugins/sidecar/instance.go
@@ -28,6 +28,8 @@
 	// replacedUntil is the time until which another instance is assumed to run at the
 	// target's address.
 	replacedUntil time.Time
+	// announced is what the target announced in its latest answer.
+	announced announcement
 }
 
 func newInstance(slots int, pool *httpconn.Pool) *instance {
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -154,6 +154,9 @@
 		dial:      transport.DialTarget,
 		instances: map[model.TargetID]*instance{},
 		origins:   nesting.New(),
+		log:       ctx.Log(),
+
+		loggedHeaders: map[string]bool{},
 	}
 	s.entry = &entry{
 		host:     ctx.Host(),
--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -86,6 +86,10 @@
 	inst.recordAnswer()
 	head := s.exchange.ParseResponse(response.StatusCode, response.Header)
 	s.updateIdleTimeout(inst, response.Header)
+	if !head.WrongTarget {
+		s.logAnnouncement(inst, h.Instance, head)
+	}
+	s.recordUnknownHeaders(h.Instance, head.UnknownHeaders)
 	body, err := readBody(response.Body, answerLength(response, h.Method), 0)
 	if err != nil {
 		_ = response.Body.Close() // the body was cut off
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/internal/cborheader"
 	"github.com/bronzemast/bronzemast/internal/httpconn"
 	"github.com/bronzemast/bronzemast/model"
@@ -31,6 +32,9 @@
 	mu        sync.Mutex
 	instances map[model.TargetID]*instance
 	origins   *nesting.Detector
+	// loggedHeaders holds the unknown headers of the target that were logged.
+	loggedHeaders map[string]bool
+	log           *event.Log
 }
 
 // answer is the end of an attempt: its result and, if the target answered, the response.
