--- a/test/sidecar/path_test.go
+++ b/test/sidecar/path_test.go
@@ -25,21 +25,26 @@
 const sendInterval = 10 * time.Millisecond
 
 func (f *fleet) traffic(method, path string) *traffic {
+	return f.trafficEvery(sendInterval, method, path)
+}
+
+// trafficEvery sends one request to each host per interval.
+func (f *fleet) trafficEvery(interval time.Duration, method, path string) *traffic {
 	tr := &traffic{stop: make(chan struct{})}
 	for _, h := range f.hosts {
 		tr.done.Add(1)
 		go func() {
 			defer tr.done.Done()
-			tr.run(h, method, path)
+			tr.run(h, interval, method, path)
 		}()
 	}
 	return tr
 }
 
-func (tr *traffic) run(h *host, method, path string) {
+func (tr *traffic) run(h *host, interval time.Duration, method, path string) {
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
-	ticker := time.NewTicker(sendInterval)
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
