Nodes keep to the limits that targets name, and from targets that leave

What callers and targets saw: a target that named 4.2 requests a second got 87 in 4 s (30 allowed), and targets that had said that they leave got requests for as long as the store listed them.

Cause: no code read either header; answers were checked for what they say about the request only, not for what they say about the target.

Change: the node beside a target, through which all of its requests pass, puts the target's rate beside its slots (token bucket in the admission queue, higher classes first, none starved). An answer ends a limit only if it cannot be older than one that named it. Entry nodes hear of limits and leavings with each answer in a header of its own, which older nodes ignore, keep to a share of the limit while others have room, and pass both on with each request, so that a node that has just started knows them. A leaving binds one incarnation, whatever the store says later.

--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -33,29 +33,31 @@
 // Line is a log line about a request. Its JSON names are the field names of the log;
 // fields that an event does not have are zero.
 type Line struct {
-	Event          int     `json:"event"`
-	Time           string  `json:"time"`
-	Host           string  `json:"host"`
-	Request        string  `json:"request"`
-	Route          string  `json:"route"`
-	Service        string  `json:"service"`
-	Authority      string  `json:"authority"`
-	Path           string  `json:"path"`
-	Target         string  `json:"target"`
-	Outcome        string  `json:"outcome"`
-	Reason         string  `json:"reason"`
-	Status         int     `json:"status"`
-	Hop            int     `json:"hop"`
-	Hops           int     `json:"hops"`
-	Dispatched     bool    `json:"handed"`
-	Rank           int     `json:"rank"`
-	Nested         bool    `json:"nested"`
-	Running        int     `json:"running"`
-	Waiting        int     `json:"waiting"`
-	Slots          int     `json:"slots"`
-	Occupied       float64 `json:"occupied"`
-	LoadAgeMs      int64   `json:"load_age_ms"`
-	ExpectedMs     int64   `json:"expected_ms"`
+	Event      int     `json:"event"`
+	Time       string  `json:"time"`
+	Host       string  `json:"host"`
+	Request    string  `json:"request"`
+	Route      string  `json:"route"`
+	Service    string  `json:"service"`
+	Authority  string  `json:"authority"`
+	Path       string  `json:"path"`
+	Target     string  `json:"target"`
+	Outcome    string  `json:"outcome"`
+	Reason     string  `json:"reason"`
+	Status     int     `json:"status"`
+	Hop        int     `json:"hop"`
+	Hops       int     `json:"hops"`
+	Dispatched bool    `json:"handed"`
+	Rank       int     `json:"rank"`
+	Nested     bool    `json:"nested"`
+	Running    int     `json:"running"`
+	Waiting    int     `json:"waiting"`
+	Slots      int     `json:"slots"`
+	Occupied   float64 `json:"occupied"`
+	LoadAgeMs  int64   `json:"load_age_ms"`
+	ExpectedMs int64   `json:"expected_ms"`
+	// Limit is the rate that the target accepts, in requests per second.
+	Limit          float64 `json:"limit"`
 	StartWithinMs  int64   `json:"start_within_ms"`
 	QueuedMs       int64   `json:"waited_ms"`
 	ServiceTimeMs  int64   `json:"worked_ms"`
@@ -275,6 +277,11 @@
 			targetSide.Target, targetSide.Running, targetSide.Slots, targetSide.Waiting, targetSide.StartWithinMs, end.RetryAfterMs)
 	case end.Reason == "overloaded":
 		return fmt.Sprintf("The request was refused by overload: all targets had recently been full; the caller was asked to retry after %d ms.", end.RetryAfterMs)
+	case end.Reason == "target-limited" && targetSide != nil:
+		return fmt.Sprintf("The request was refused by a limit: %s accepts %g requests per second at present, and the request could wait at most %d ms; the caller was asked to retry after %d ms.",
+			targetSide.Target, targetSide.Limit, targetSide.StartWithinMs, end.RetryAfterMs)
+	case end.Reason == "target-limited":
+		return fmt.Sprintf("The request was refused by a limit: the targets accept only a limited rate at present, which was used up; the caller was asked to retry after %d ms.", end.RetryAfterMs)
 	case end.Reason == "target-lost":
 		return "The target ended, or aborted its response, while it processed the request; whether the request ran is unknown."
 	case end.Reason == "peer-lost":
--- a/internal/requestlog/requestlog_test.go
+++ b/internal/requestlog/requestlog_test.go
@@ -55,6 +55,12 @@
 	}
 }
 
+func TestRejectionByALimitNamesTheTargetAndItsLimit(t *testing.T) {
+	limited := strings.NewReplacer("overloaded", "target-limited", `"waiting":4`, `"waiting":4,"limit":4.6`)
+	h := read(t, "r1", limited.Replace(targetLog), limited.Replace(entryLog))
+	NewWithT(t).Expect(h.Conclusion()).To(ContainSubstring("i-2 accepts 4.6 requests per second at present, and the request could wait at most 90 ms"))
+}
+
 func TestConclusions(t *testing.T) {
 	for line, want := range map[string]string{
 		`"outcome":"ran","status":200,"took_ms":70`:       "answered with 200 after 70 ms",
@@ -67,6 +73,7 @@
 		`"outcome":"not-run","reason":"target-refused"`:   "did not run the request",
 		`"outcome":"not-run","reason":"no-configuration"`: "no-configuration",
 		`"outcome":"not-run","reason":"overloaded"`:       "all targets had recently been full",
+		`"outcome":"not-run","reason":"target-limited"`:   "only a limited rate at present",
 	} {
 		h := read(t, "r", `{"event":2201,"request":"r",`+line+"}\n")
 		NewWithT(t).Expect(h.Conclusion()).To(ContainSubstring(want))
--- a/model/outcome.go
+++ b/model/outcome.go
@@ -77,6 +77,8 @@
 	ReasonTooLarge      Reason = "too-large"
 	ReasonBadRequest    Reason = "bad-request"
 	ReasonTargetRefused Reason = "target-refused"
+	// ReasonTargetLimited is a request beyond the rate that the targets have named.
+	ReasonTargetLimited Reason = "target-limited"
 	ReasonTargetLost    Reason = "target-lost"
 	ReasonPeerLost      Reason = "peer-lost"
 	ReasonRetryBudget   Reason = "retry-budget"
--- a/plugins/metrics/metrics_test.go
+++ b/plugins/metrics/metrics_test.go
@@ -22,6 +22,8 @@
 	kinds.Add("not-run", 3)
 	plugin.Set("outcomes", kinds)
 	plugin.Set("stage", expvar.Func(func() any { return "serving" }))
+	plugin.Set("limits", expvar.Func(func() any { return map[string]float64{"i-1": 4.6} }))
+	plugin.Set("age", expvar.Func(func() any { return 12 }))
 	h := latency.New()
 	for range 100 {
 		h.Observe(20 * time.Millisecond)
@@ -39,6 +41,8 @@
 	g.Expect(out.String()).To(And(
 		ContainSubstring("bronzemast_sidecar_calls 7\n"),
 		ContainSubstring("bronzemast_sidecar_outcomes{kind=\"not-run\"} 3\n"),
+		ContainSubstring("bronzemast_sidecar_limits{kind=\"i-1\"} 4.6\n"),
+		ContainSubstring("bronzemast_sidecar_age 12\n"),
 		ContainSubstring("bronzemast_sidecar_request_latency_seconds{quantile=\"0.99\"} 0.02"),
 		ContainSubstring("bronzemast_sidecar_request_latency_seconds_count 100\n"),
 		Not(ContainSubstring("stage")),
--- a/plugins/sidecar/announcement.go
+++ b/plugins/sidecar/announcement.go
@@ -1,46 +1,256 @@
 package sidecar
 
 import (
+	"net/netip"
+	"time"
+
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/model"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/ratelimit"
+)
+
+const (
+	// maxUnknownHeaders bounds the unknown headers that are logged and counted by name.
+	maxUnknownHeaders = 16
+	// announcementTTL is how long a limit is remembered after its target was last listed.
+	announcementTTL = time.Minute
+	// rateLogInterval is the shortest time between two log lines about a limit that
+	// changes only its rate.
+	rateLogInterval = 5 * time.Second
+)
+
+// The sources of an announcement as logged.
+const (
+	sourceAnswer = "answer"
+	sourcePeer   = "peer"
 )
 
-// announcement is what a target announces about itself in an answer.
-type announcement struct {
-	limit   model.RateLimit
+// loggedAnnouncement is an announcement that was logged.
+type loggedAnnouncement struct {
+	limited bool
+	rate    float64
+	invalid string
 	leaving bool
+	at      time.Time
+}
+
+// due reports whether another announcement differs from this one so that it is logged.
+func (l loggedAnnouncement) due(next loggedAnnouncement) bool {
+	if l.limited != next.limited || l.invalid != next.invalid || l.leaving != next.leaving {
+		return true
+	}
+	return l.rate != next.rate && next.at.Sub(l.at) >= rateLogInterval
+}
+
+// fields returns the fields of the log line.
+func (l loggedAnnouncement) fields(id model.TargetID, source string) event.Fields {
+	return event.Fields{"target": id, "limit": logLimit(l.rate, l.limited), "invalid": l.invalid, "leaving": l.leaving, "source": source}
 }
 
-// maxUnknownHeaders bounds the unknown headers that are logged and counted by name.
-const maxUnknownHeaders = 16
+// noLimit is logged as the limit of a target that names none.
+const noLimit = -1.0
 
-// logAnnouncement logs what an instance announces if that differs from its previous answer.
-func (s *targetSide) logAnnouncement(inst *instance, id model.TargetID, head model.ResponseHead) {
-	now := announcement{limit: head.Limit, leaving: head.Leaving}
-	if !inst.recordAnnouncement(now) {
+func logLimit(rate float64, limited bool) float64 {
+	if !limited {
+		return noLimit
+	}
+	return rate
+}
+
+// loggedLimit returns the limit as it is logged.
+func (s targetState) loggedLimit() float64 { return logLimit(s.Rate, s.Limited) }
+
+// observeAnnouncement records what an instance announces in an answer to a request that was
+// sent at sentAt. A limit that is not a rate changes nothing.
+func (s *targetSide) observeAnnouncement(inst *instance, id model.TargetID, head model.ResponseHead, sentAt time.Time) {
+	now := time.Now()
+	logged, changed := inst.observe(head, sentAt, now)
+	if head.Leaving && s.departures.record(id, inst.incarnation(now), now) {
+		inst.rejectWaiting()
+	}
+	if changed {
+		s.log.Emit(eventAnnounced, logged.fields(id, sourceAnswer))
+	}
+}
+
+// observe records the announcements of an answer. It returns them as they are logged, and
+// whether they changed.
+func (i *instance) observe(head model.ResponseHead, sentAt, now time.Time) (logged loggedAnnouncement, changed bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch {
+	case head.Limit.Named:
+		i.limit.Name(head.Limit.Rate, sentAt, now)
+	case head.Limit.Invalid == "":
+		i.limit.End(sentAt)
+	}
+	i.leaving = i.leaving || head.Leaving
+	i.applyLimit(now)
+	logged = loggedAnnouncement{invalid: head.Limit.Invalid, leaving: i.leaving, at: now}
+	logged.rate, logged.limited = i.limit.Limit()
+	changed = i.logged.due(logged)
+	if changed {
+		i.logged = logged
+	}
+	return logged, changed
+}
+
+// learn records a limit that another node has heard from the same incarnation.
+func (i *instance) learn(known targetState, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if known.Limited && known.StartedAt == i.startedMillis() && !i.limit.Answered() {
+		i.limit.Learn(known.Rate)
+		i.applyLimit(now)
+	}
+}
+
+// applyLimit applies the target's limit to the queue. The caller holds mu.
+func (i *instance) applyLimit(now time.Time) {
+	rate, limited := i.limit.Limit()
+	switch {
+	case limited:
+		i.heardAt = now
+		notify(i.queue.SetRate(rate, now), admissionResult{started: true})
+	case !i.heardAt.IsZero():
+		i.heardAt = time.Time{}
+		notify(i.queue.ClearRate(now), admissionResult{started: true})
+	default:
+		return
+	}
+	i.armTimer()
+}
+
+// pauseAfterRejection returns how long a node whose request the limit rejected should offer
+// no further one. wait is the time until the limit allows for another request.
+func (i *instance) pauseAfterRejection(sender netip.Addr, wait time.Duration) time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	rate, limited := i.limit.Limit()
+	if !limited {
+		return wait
+	}
+	now := time.Now()
+	i.senders.Offered(sender, now)
+	return i.senders.Pause(rate, wait, now)
+}
+
+// startedAs records when the listed incarnation started. What an earlier one announced does
+// not apply to it.
+func (i *instance) startedAs(startedAt time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if startedAt.Equal(i.startedAt) {
 		return
 	}
-	limit := now.limit.Rate
-	if !now.limit.Named {
-		limit = -1
+	restarted := !i.startedAt.IsZero()
+	i.startedAt = startedAt
+	if restarted {
+		i.limit, i.leaving = ratelimit.Announced{}, false
+		i.applyLimit(time.Now())
+	}
+}
+
+// incarnation returns when the present incarnation started, now if it is not known.
+func (i *instance) incarnation(now time.Time) time.Time {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.startedAt.IsZero() {
+		return now
+	}
+	return i.startedAt
+}
+
+// startedMillis returns when the present incarnation started as Unix time in milliseconds, 0
+// if it is not known. The caller holds mu.
+func (i *instance) startedMillis() int64 {
+	if i.startedAt.IsZero() {
+		return 0
 	}
-	s.log.Emit(eventAnnounced, event.Fields{
-		"target":  id,
-		"limit":   limit,
-		"invalid": now.limit.Invalid,
-		"leaving": now.leaving,
-		"source":  "answer",
-	})
+	return i.startedAt.UnixMilli()
+}
+
+// rejectWaiting rejects all waiting requests, so that they go to another target.
+func (i *instance) rejectWaiting() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	notify(i.queue.Clear(), admissionResult{})
+	i.armTimer()
+}
+
+// state returns what the target has announced, as it is sent to other nodes.
+func (i *instance) state() targetState {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	s := targetState{Leaving: i.leaving, StartedAt: i.startedMillis()}
+	s.Rate, s.Limited = i.limit.Limit()
+	return s
 }
 
-// recordAnnouncement reports whether an answer announces something else than the previous
-// one.
-func (i *instance) recordAnnouncement(now announcement) (changed bool) {
+// limitedWithin reports whether a limit was in force within the given time.
+func (i *instance) limitedWithin(d time.Duration) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	changed = now != i.announced
-	i.announced = now
-	return changed
+	return !i.heardAt.IsZero() && time.Since(i.heardAt) < d
+}
+
+// shareOf returns the node's share of a target's limit, in requests per second.
+func (s *targetStats) shareOf(limit float64) float64 {
+	return ratelimit.Share(limit, s.fleetSize())
+}
+
+// updateState records what a target has announced according to the node beside it, as of
+// sentAt. The caller holds mu.
+func (s *targetStats) updateState(t *model.Target, r *targetRecord, state targetState, sentAt, now time.Time) {
+	if state.Leaving {
+		s.departures.record(t.ID, state.incarnationOf(t), now)
+	}
+	if sentAt.Before(r.stateAt) {
+		return // another answer holds a later state
+	}
+	if state.Limited != r.state.Limited || state.Leaving != r.state.Leaving {
+		l := loggedAnnouncement{limited: state.Limited, rate: state.Rate, leaving: state.Leaving}
+		s.log.Emit(eventAnnounced, l.fields(t.ID, sourcePeer))
+	}
+	r.state, r.stateAt = state, sentAt
+	if state.Limited {
+		r.share.SetRate(s.shareOf(state.Rate), now)
+	} else {
+		r.share.Clear()
+	}
+}
+
+// incarnationOf returns when the incarnation that the state is about started: that of the
+// entry if the sender does not know it.
+func (s targetState) incarnationOf(t *model.Target) time.Time {
+	if s.StartedAt == 0 {
+		return t.StartedAt
+	}
+	return time.UnixMilli(s.StartedAt)
+}
+
+// known returns what the node knows of a target's announcements.
+func (s *targetStats) known(t *model.Target) targetState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.targets[t.ID]
+	if r == nil {
+		return targetState{}
+	}
+	return r.state
+}
+
+// limits returns the limits of the host's own targets in requests per second, by target.
+func (s *targetSide) limits() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limits := map[string]float64{}
+	for id, inst := range s.instances {
+		if state := inst.state(); state.Limited {
+			limits[string(id)] = state.Rate
+		}
+	}
+	return limits
 }
 
 // recordUnknownHeaders counts the unknown headers of an answer, and logs each name once.
--- a/plugins/sidecar/body.go
+++ b/plugins/sidecar/body.go
@@ -152,5 +152,6 @@
 	}
 	delete(kept, headerHandover)
 	delete(kept, headerResult)
+	delete(kept, headerTargetState)
 	return kept
 }
--- a/plugins/sidecar/choose.go
+++ b/plugins/sidecar/choose.go
@@ -24,6 +24,8 @@
 	// then rejected without an attempt.
 	fullFor        time.Duration
 	unreachableFor time.Duration
+	// limited is set if fullFor is due to the rate that a target accepts.
+	limited bool
 }
 
 // choose returns the target with the lowest cost among those eligible for a call.
@@ -44,7 +46,7 @@
 	var eligible []*model.Target
 	var candidates []placement.Candidate
 	for _, t := range targets {
-		if t.Leaving || c.excludedTargets[t.ID] {
+		if t.Leaving || c.excludedTargets[t.ID] || s.departures.includes(t) {
 			continue
 		}
 		if wait := s.unreachableFor(t, now); wait > 0 {
@@ -52,7 +54,7 @@
 			continue
 		}
 		if s.full(t, c, now) {
-			noTarget.fullFor = minNonZero(noTarget.fullFor, max(s.target(t, now).load.Wait, time.Millisecond))
+			noTarget.addFull(s.target(t, now), now)
 			continue
 		}
 		candidate := s.candidate(t, c.route.Name, c.route.Objective, objectiveRemaining, occupancy, now)
@@ -72,6 +74,18 @@
 	}
 }
 
+// addFull records that a target is full. The node offers no request to a target that limits
+// its rate before fullUntil, though others may have room there sooner.
+func (c *choice) addFull(r *targetRecord, now time.Time) {
+	wait := max(r.load.Wait, time.Millisecond)
+	if r.state.Limited {
+		wait = max(wait, r.fullUntil.Sub(now))
+	}
+	if c.fullFor == 0 || wait < c.fullFor {
+		c.fullFor, c.limited = wait, r.state.Limited
+	}
+}
+
 // maxOverheadShare is the share of a route's objective that a request may spend on
 // attempts at full targets. Beyond it, a further attempt is likely to cost the caller more
 // time than it saves.
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -141,6 +141,9 @@
 	case chosen.fullFor > 0:
 		a = notRunAnswer(model.ReasonOverloaded)
 		a.RetryAfter = chosen.fullFor
+		if chosen.limited {
+			a.Reason = model.ReasonTargetLimited
+		}
 	case chosen.unreachableFor > 0:
 		a = notRunAnswer(model.ReasonUnreachable)
 		a.RetryAfter = chosen.unreachableFor
@@ -171,7 +174,7 @@
 	})
 	switch next {
 	case planFailover:
-		if a.Reason == model.ReasonOverloaded {
+		if a.Reason == model.ReasonOverloaded || a.Reason == model.ReasonTargetLimited {
 			c.fullTargets[t.ID] = true
 			c.fullRetryAfter = a.RetryAfter
 		} else {
@@ -229,6 +232,7 @@
 		Rank:               c.route.Rank,
 		MaxQueueWait:       chosen.maxQueueWait,
 		Revision:           e.replica.Revision(),
+		known:              e.stats.known(t),
 	}
 	e.stats.attemptStarted(t, start)
 	a := e.sender.send(ctx, t, h, c, chosen.candidate.ExpectedLatency())
@@ -245,6 +249,7 @@
 		"target":      t.ID,
 		"occupied":    chosen.candidate.Occupied,
 		"slots":       t.Slots,
+		"limit":       h.known.loggedLimit(),
 		"load_age_ms": chosen.loadAge.Milliseconds(),
 		"expected_ms": chosen.candidate.ExpectedLatency().Milliseconds(),
 		"cost":        chosen.candidate.Cost(),
--- a/plugins/sidecar/events.go
+++ b/plugins/sidecar/events.go
@@ -10,8 +10,8 @@
 		Number:  2200,
 		Level:   logrus.InfoLevel,
 		Message: "attempt ended",
-		Fields:  []string{"request", "hop", "target", "occupied", "slots", "load_age_ms", "expected_ms", "cost", "patience_ms", "outcome", "reason", "handed", "took_ms"},
-		Meaning: "The entry node has sent a request to a target's node, or tried to. The fields occupied, slots and expected_ms are its estimates for the target, based on the load that the target's node reported load_age_ms earlier.",
+		Fields:  []string{"request", "hop", "target", "occupied", "slots", "limit", "load_age_ms", "expected_ms", "cost", "patience_ms", "outcome", "reason", "handed", "took_ms"},
+		Meaning: "The entry node has sent a request to a target's node, or tried to. The fields occupied, slots and expected_ms are its estimates for the target, based on the load that the target's node reported load_age_ms earlier. limit is the rate that the target accepts as far as the entry node knows, in requests per second, -1 if it names none.",
 		Action:  "None. The \"request ended\" line of the same request has its result.",
 	})
 	eventRequest = event.Define(event.Event{
@@ -26,8 +26,8 @@
 		Number:  2202,
 		Level:   logrus.InfoLevel,
 		Message: "target side ended",
-		Fields:  []string{"request", "route", "target", "rank", "nested", "late", "patience_ms", "expected_ms", "start_within_ms", "running", "waiting", "slots", "waited_ms", "worked_ms", "outcome", "reason", "status", "revision", "sender_revision"},
-		Meaning: "The node beside a target has admitted or rejected a request. The fields running, waiting and slots hold the target's load when the request arrived.",
+		Fields:  []string{"request", "route", "target", "rank", "nested", "late", "patience_ms", "expected_ms", "start_within_ms", "running", "waiting", "slots", "limit", "waited_ms", "worked_ms", "outcome", "reason", "status", "revision", "sender_revision"},
+		Meaning: "The node beside a target has admitted or rejected a request. The fields running, waiting and slots hold the target's load when the request arrived, limit the rate that it accepts in requests per second, -1 if it names none.",
 		Action:  "If many requests are rejected as overloaded, the target has too few slots for its load or has become slow.",
 	})
 	eventUnlogged = event.Define(event.Event{
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -1,6 +1,9 @@
 package sidecar
 
 import (
+	"math"
+	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/bronzemast/bronzemast/internal/cborheader"
@@ -18,6 +21,9 @@
 	// the result on its response.
 	headerHandover = "Bronzemast-Handover"
 	headerResult   = "Bronzemast-Result"
+	// headerTargetState carries what is known of the target's announcements, on a request
+	// and on its response. It is absent if there are none.
+	headerTargetState = "Bronzemast-Target-State"
 	// handoverVersion is the version of both headers.
 	handoverVersion = 1
 	// maxHandoverBytes bounds the length of both header values, in bytes.
@@ -53,6 +59,12 @@
 	MaxQueueWait time.Duration
 	// Revision is the store revision that the sender has.
 	Revision uint64
+
+	// known is what the sender knows of the target's announcements. It is sent in
+	// headerTargetState.
+	known targetState
+	// sender is the host that sent the request.
+	sender netip.Addr
 }
 
 // result is the metadata that the node beside the target returns with a response. It is
@@ -78,6 +90,55 @@
 	FullFor  time.Duration
 	Load     load
 	Revision uint64
+
+	// announced is what the target has announced. It is sent in headerTargetState.
+	announced targetState
+}
+
+// targetState is what a target has announced about itself. Nodes ignore fields that they do
+// not know, so that later versions can add some.
+type targetState struct {
+	// Limited is set if the target accepts at most Rate requests per second.
+	Limited bool    `cbor:"1,keyasint,omitempty"`
+	Rate    float64 `cbor:"2,keyasint,omitempty"`
+	// Leaving is set once the target has announced its shutdown.
+	Leaving bool `cbor:"3,keyasint,omitempty"`
+	// StartedAt identifies the incarnation of the target: the time of its start, as Unix
+	// time in milliseconds, 0 if it is not known.
+	StartedAt int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// set adds the state to the header of a request or response.
+func (s targetState) set(header http.Header) {
+	if s.Limited || s.Leaving {
+		header[headerTargetState] = []string{cborheader.Encode(s)}
+	}
+}
+
+var targetStateDecoding = newTargetStateDecoding()
+
+func newTargetStateDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 4}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
+// decodeTargetState decodes the state in the header of a request or response.
+func decodeTargetState(header http.Header) (targetState, error) {
+	var s targetState
+	text := header.Get(headerTargetState)
+	if text == "" {
+		return s, nil
+	}
+	if err := cborheader.Decode(text, targetStateDecoding, maxHandoverBytes, &s); err != nil {
+		return s, errors.Wrap(err, "target state header")
+	}
+	if s.Rate < 0 || math.IsNaN(s.Rate) || math.IsInf(s.Rate, 0) {
+		return s, errors.Errorf("target state header: %g is not a rate", s.Rate)
+	}
+	return s, nil
 }
 
 // load is the state of a target as measured by the node beside it. It is encoded as a CBOR
@@ -100,24 +161,32 @@
 
 var handoverDecoding = strictcbor.NewDecMode(cbor.DecOptions{MaxNestedLevels: 4})
 
-func decodeHandover(text string) (*handover, error) {
+func decodeHandover(header http.Header) (*handover, error) {
 	var h handover
-	if err := cborheader.Decode(text, handoverDecoding, maxHandoverBytes, &h); err != nil {
+	if err := cborheader.Decode(header.Get(headerHandover), handoverDecoding, maxHandoverBytes, &h); err != nil {
 		return nil, errors.Wrap(err, "handover header")
 	}
 	if h.Version != handoverVersion {
 		return nil, errors.Errorf("handover header: version %d is unknown; this program knows version %d", h.Version, handoverVersion)
 	}
+	var err error
+	if h.known, err = decodeTargetState(header); err != nil {
+		return nil, err
+	}
 	return &h, nil
 }
 
-func decodeResult(text string) (*result, error) {
+func decodeResult(header http.Header) (*result, error) {
 	var r result
-	if err := cborheader.Decode(text, handoverDecoding, maxHandoverBytes, &r); err != nil {
+	if err := cborheader.Decode(header.Get(headerResult), handoverDecoding, maxHandoverBytes, &r); err != nil {
 		return nil, errors.Wrap(err, "result header")
 	}
 	if r.Version != handoverVersion {
 		return nil, errors.Errorf("result header: version %d is unknown; this program knows version %d", r.Version, handoverVersion)
 	}
+	var err error
+	if r.announced, err = decodeTargetState(header); err != nil {
+		return nil, err
+	}
 	return &r, nil
 }
--- a/plugins/sidecar/instance.go
+++ b/plugins/sidecar/instance.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/internal/httpconn"
+	"github.com/bronzemast/bronzemast/model"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/ratelimit"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/slotqueue"
 )
 
@@ -16,7 +18,7 @@
 
 	mu    sync.Mutex
 	queue *slotqueue.Queue
-	// timer fires when the next waiting request expires.
+	// timer fires when the next waiting request expires or may start.
 	timer *time.Timer
 	// meanRunTimes holds the mean run time of each route, without the current slowdown.
 	meanRunTimes map[string]time.Duration
@@ -28,8 +30,17 @@
 	// replacedUntil is the time until which another instance is assumed to run at the
 	// target's address.
 	replacedUntil time.Time
-	// announced is what the target announced in its latest answer.
-	announced announcement
+	// startedAt is when this incarnation of the target started, zero if it is not known.
+	startedAt time.Time
+	// limit is the limit that the target names, heardAt when it or its absence was last
+	// heard of, and leaving is set once the target has announced its shutdown.
+	limit   ratelimit.Announced
+	heardAt time.Time
+	leaving bool
+	// senders counts the nodes that share the limit.
+	senders ratelimit.Senders
+	// logged is the announcement that was last logged.
+	logged loggedAnnouncement
 }
 
 func newInstance(slots int, pool *httpconn.Pool) *instance {
@@ -39,7 +50,7 @@
 		meanRunTimes: map[string]time.Duration{},
 		slowdown:     1,
 	}
-	inst.timer = time.AfterFunc(time.Hour, inst.expire)
+	inst.timer = time.AfterFunc(time.Hour, inst.advance)
 	inst.timer.Stop()
 	return inst
 }
@@ -118,29 +129,31 @@
 	i.armTimer()
 }
 
-// resize changes the number of slots.
+// resize changes the number of slots, unless it is 0.
 func (i *instance) resize(slots int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if slots != i.queue.Limit() {
+	if slots > 0 && slots != i.queue.Limit() {
 		notify(i.queue.SetLimit(slots, time.Now()), admissionResult{started: true})
 		i.armTimer()
 	}
 }
 
-// expire rejects the requests whose StartBy has passed.
-func (i *instance) expire() {
+// advance starts the requests that the rate allows for by now, and rejects those whose
+// StartBy has passed.
+func (i *instance) advance() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := time.Now()
+	notify(i.queue.Fill(now), admissionResult{started: true})
 	expired := i.queue.Expire(now)
 	notify(expired, admissionResult{wait: i.queue.ExpectedWait(now)})
 	i.armTimer()
 }
 
-// armTimer sets the timer to the next expiry. The caller holds mu.
+// armTimer sets the timer to the next change of the queue. The caller holds mu.
 func (i *instance) armTimer() {
-	at, ok := i.queue.NextExpiry()
+	at, ok := i.queue.NextChange(time.Now())
 	if !ok {
 		i.timer.Stop()
 		return
@@ -155,6 +168,16 @@
 	}
 }
 
+// fullReason returns the reason for which a request is rejected that can't start in time.
+func (i *instance) fullReason() model.Reason {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.queue.RateBinds(time.Now()) {
+		return model.ReasonTargetLimited
+	}
+	return model.ReasonOverloaded
+}
+
 // expectedRunTime returns the expected run time of a request of a route: the route's mean
 // times the current slowdown. Without samples it assumes a third of the objective.
 func (i *instance) expectedRunTime(route string, objective time.Duration) time.Duration {
--- a/plugins/sidecar/placement/placement.go
+++ b/plugins/sidecar/placement/placement.go
@@ -32,6 +32,9 @@
 	Unavailable bool
 	// Rejected is set when the target has already rejected this request as full.
 	Rejected bool
+	// Throttled is set when the node has used up its share of the rate that the target
+	// accepts.
+	Throttled bool
 }
 
 // The costs below are in units of a request that misses its objective.
@@ -45,6 +48,9 @@
 	toleratedFailureRate = 0.1
 	// rejectedCost is the cost of retrying a target that has already rejected the request.
 	rejectedCost = 0.1
+	// throttledCost is the cost of sending more than the node's share of a target's rate.
+	// The target's node may still have room that other nodes don't use.
+	throttledCost = 0.5
 	// unavailableCost makes targets that are leaving or in cooldown the last choice.
 	unavailableCost = 1000
 )
@@ -72,6 +78,9 @@
 	if c.Rejected {
 		cost += rejectedCost
 	}
+	if c.Throttled {
+		cost += throttledCost
+	}
 	if c.Unavailable {
 		cost += unavailableCost
 	}
@@ -95,7 +104,7 @@
 
 // hasFreeSlot reports whether the candidate is estimated to have a free slot.
 func (c Candidate) hasFreeSlot() bool {
-	return !c.Unavailable && !c.Rejected && c.Occupied < float64(c.Slots)
+	return !c.Unavailable && !c.Rejected && !c.Throttled && c.Occupied < float64(c.Slots)
 }
 
 // HasAlternative reports whether a candidate other than the chosen one is estimated to have a
--- a/plugins/sidecar/placement/placement_test.go
+++ b/plugins/sidecar/placement/placement_test.go
@@ -32,6 +32,8 @@
 		"in cooldown, idle":    with(func(c *Candidate) { c.Unavailable, c.Occupied = true, 0 }),
 		"failing, idle":        with(func(c *Candidate) { c.FailureRate, c.Occupied = 0.4, 0 }),
 		"slow in own domain":   with(func(c *Candidate) { c.RunTime = 900 * time.Millisecond }),
+		"throttled":            with(func(c *Candidate) { c.Throttled = true }),
+		"throttled, idle":      with(func(c *Candidate) { c.Throttled, c.Occupied = true, 0 }),
 		"full with a queue":    with(func(c *Candidate) { c.Occupied = 30 }),
 	}
 	for name, worse := range cases {
--- a/plugins/sidecar/sender.go
+++ b/plugins/sidecar/sender.go
@@ -55,6 +55,7 @@
 func (s *sender) sendRemote(ctx context.Context, t *model.Target, h *handover, c *call, expected time.Duration) *answer {
 	header := c.header.Clone()
 	header[headerHandover] = []string{cborheader.Encode(h)}
+	h.known.set(header)
 	ctx, cancelDeadline := context.WithTimeout(ctx, h.Remaining)
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	cancel := func() {
@@ -149,7 +150,7 @@
 // readAnswer reads the response of a peer. Without a valid result header or a complete
 // body it counts as lost.
 func (s *sender) readAnswer(ctx context.Context, response *http.Response, method, peer string) *answer {
-	reported, err := decodeResult(response.Header.Get(headerResult))
+	reported, err := decodeResult(response.Header)
 	if err != nil {
 		_ = response.Body.Close() // the response is unusable
 		return peerFailure(ctx, &httpconn.Error{Sent: true, Err: err})
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -142,6 +143,7 @@
 	s.tracer = newTracer(ctx.Log(), s.settings.LogLines)
 	s.spawn = ctx.Go
 	m := newMetrics(ctx.Metrics())
+	hosts := func() int { return len(replica.Targets().Hosts) }
 	s.targetSide = &targetSide{
 		address:   target,
 		peerPort:  strconv.Itoa(int(peer.Port())),
@@ -157,6 +159,7 @@
 		log:       ctx.Log(),
 
 		loggedHeaders: map[string]bool{},
+		departures:    newDepartures(),
 	}
 	s.entry = &entry{
 		host:     ctx.Host(),
@@ -167,9 +170,12 @@
 		tracer:   s.tracer,
 		stats:    newTargetStats(&s.live, peer.Addr(), ctx.Host().Domain, ctx.Log()),
 		splitter: &ingress.Splitter{},
-		budgets:  newRetryBudgets(&s.live, func() int { return len(replica.Targets().Hosts) }),
+		budgets:  newRetryBudgets(&s.live, hosts),
 		drain:    s.drain,
 	}
+	s.entry.stats.departures = s.targetSide.departures
+	s.entry.stats.fleetSize = hosts
+	ctx.Metrics().Set("target_limits", expvar.Func(func() any { return s.targetSide.limits() }))
 	s.entry.sender = s.newSender(peer, transport, replica)
 	transport.HandleCalls(s.entry)
 	transport.HandlePeer("POST "+pathHandover, s.targetSide)
--- a/plugins/sidecar/slotqueue/queue_test.go
+++ b/plugins/sidecar/slotqueue/queue_test.go
@@ -71,7 +71,7 @@
 	running, waiting := ticket(0, time.Second), ticket(0, 300*time.Millisecond)
 	q.Offer(running, unlimitedWait, start)
 	q.Offer(waiting, unlimitedWait, start)
-	at, ok := q.NextExpiry()
+	at, ok := q.NextChange(start)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(at).To(Equal(waiting.StartBy))
 	g.Expect(q.Expire(start.Add(300 * time.Millisecond))).To(BeEmpty())
--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -87,7 +87,7 @@
 	head := s.exchange.ParseResponse(response.StatusCode, response.Header)
 	s.updateIdleTimeout(inst, response.Header)
 	if !head.WrongTarget {
-		s.logAnnouncement(inst, h.Instance, head)
+		s.observeAnnouncement(inst, h.Instance, head, start)
 	}
 	s.recordUnknownHeaders(h.Instance, head.UnknownHeaders)
 	body, err := readBody(response.Body, answerLength(response, h.Method), 0)
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -35,6 +35,7 @@
 	// loggedHeaders holds the unknown headers of the target that were logged.
 	loggedHeaders map[string]bool
 	log           *event.Log
+	departures    *departures
 }
 
 // answer is the end of an attempt: its result and, if the target answered, the response.
@@ -103,12 +104,14 @@
 	if inst == nil {
 		a := notRunAnswer(reason)
 		a.Load.Leaving = reason == model.ReasonDraining
+		a.announced = s.departures.stateOf(h.Instance)
 		return a
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.Remaining)
 	a := s.runOnInstance(ctx, inst, h, adm, header, body)
 	a.Load = inst.load()
 	a.Load.Leaving = s.drain.closed()
+	a.announced = inst.state()
 	if a.release == nil {
 		cancel()
 		return a
@@ -145,11 +148,17 @@
 	adm.waited = time.Since(arrived)
 	s.metrics.slotWait.Observe(adm.waited)
 	if !started {
-		a := notRunAnswer(model.ReasonOverloaded)
+		a := notRunAnswer(inst.fullReason())
 		a.RetryAfter = retryAfter
 		a.FullFor = max(retryAfter-adm.startWithin, 0)
-		if ctx.Err() != nil {
+		if a.Reason == model.ReasonTargetLimited {
+			a.FullFor = inst.pauseAfterRejection(h.sender, retryAfter)
+		}
+		switch {
+		case ctx.Err() != nil:
 			a.Reason = model.ReasonCanceled
+		case s.hasLeft(h):
+			a.Reason = model.ReasonDraining
 		}
 		return a
 	}
@@ -191,24 +200,29 @@
 	if s.hasLeft(h) {
 		return nil, model.ReasonDraining
 	}
-	slots := 0
-	if t := s.replica.Targets().ByID[h.Instance]; t != nil {
-		if t.Address != s.address || t.Service != h.Service {
-			return nil, model.ReasonNoTarget
-		}
-		slots = t.Slots
+	t := s.replica.Targets().ByID[h.Instance]
+	if t != nil && (t.Address != s.address || t.Service != h.Service) {
+		return nil, model.ReasonNoTarget
 	}
+	inst := s.instance(h.Instance)
+	if t != nil {
+		inst.resize(t.Slots)
+		inst.startedAs(t.StartedAt)
+	}
+	inst.learn(h.known, time.Now())
+	return inst, model.ReasonNone
+}
+
+// instance returns the instance with an ID, which it creates if needed.
+func (s *targetSide) instance(id model.TargetID) *instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	inst := s.instances[h.Instance]
+	inst := s.instances[id]
 	if inst == nil {
-		inst = newInstance(max(slots, 1), s.pool())
-		s.instances[h.Instance] = inst
-	}
-	if slots > 0 {
-		inst.resize(slots)
+		inst = newInstance(1, s.pool())
+		s.instances[id] = inst
 	}
-	return inst, model.ReasonNone
+	return inst
 }
 
 func (s *targetSide) pool() *httpconn.Pool {
@@ -229,17 +243,23 @@
 	}
 	list := s.replica.Targets()
 	if t := list.ByID[h.Instance]; t != nil {
-		return t.Leaving
+		s.departures.learn(t, h.known, time.Now())
+		return t.Leaving || s.departures.includes(t)
 	}
-	return s.replica.Revision() >= h.Revision
+	return s.departures.includesID(h.Instance) || s.replica.Revision() >= h.Revision
 }
 
-// retain drops the instances that are not in the list.
+// retain drops the instances that are not in the list, except those that named a limit
+// recently: an entry that lapsed during an outage of the store may come back.
 func (s *targetSide) retain(list *model.TargetList) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, inst := range s.instances {
-		if list.ByID[id] == nil {
+		if list.ByID[id] != nil {
+			continue
+		}
+		inst.pool.DropIdle()
+		if !inst.limitedWithin(announcementTTL) {
 			inst.close()
 			delete(s.instances, id)
 		}
@@ -250,12 +270,13 @@
 func (s *targetSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.drain.requestStarted()
 	defer s.drain.requestEnded()
-	h, err := decodeHandover(r.Header.Get(headerHandover))
+	h, err := decodeHandover(r.Header)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		h.sender = parseHost(host)
 		s.replica.ObserveRevision(net.JoinHostPort(host, s.peerPort), h.Revision)
 	}
 	body, err := readBody(r.Body, r.ContentLength, 0)
@@ -271,11 +292,21 @@
 		header[name] = values
 	}
 	header[headerResult] = []string{cborheader.Encode(&a.result)}
+	a.announced.set(header)
 	if a.status == 0 {
 		a.status = http.StatusServiceUnavailable
 	}
 	writeResponse(w, a.status, a.body, h.Method)
 }
 
+// parseHost parses the address of a host, the zero address if it is not one.
+func parseHost(text string) netip.Addr {
+	address, err := netip.ParseAddr(text)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return address.Unmap()
+}
+
 // Interface guard.
 var _ http.Handler = (*targetSide)(nil)
--- a/plugins/sidecar/targetstats.go
+++ b/plugins/sidecar/targetstats.go
@@ -10,15 +10,19 @@
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/placement"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/ratelimit"
 )
 
 // targetStats holds the node's estimates of targets and routes, taken from the answers that
 // it received.
 type targetStats struct {
-	settings *liveSettings
-	self     netip.Addr
-	domain   string
-	log      *event.Log
+	settings   *liveSettings
+	self       netip.Addr
+	domain     string
+	log        *event.Log
+	departures *departures
+	// fleetSize returns the number of nodes that share a target's limit.
+	fleetSize func() int
 	// probe checks in the background whether the node beside a target runs, and passes
 	// the result to recordProbe. It does not block.
 	probe func(t *model.Target)
@@ -51,6 +55,11 @@
 	cooldown      time.Duration
 	// loggedState is the state that was last logged.
 	loggedState string
+	// state is what the target has announced, as of stateAt, and share the node's share of
+	// its limit.
+	state   targetState
+	stateAt time.Time
+	share   ratelimit.Bucket
 	// coldUntil is the end of the target's cold start.
 	coldUntil time.Time
 	// fullUntil is the time until which the target is expected to reject requests of rank
@@ -95,21 +104,26 @@
 
 func newTargetStats(settings *liveSettings, self netip.Addr, domain string, log *event.Log) *targetStats {
 	return &targetStats{
-		settings: settings,
-		self:     self,
-		domain:   domain,
-		log:      log,
-		targets:  map[model.TargetID]*targetRecord{},
-		routes:   map[string]*routeRecord{},
+		settings:   settings,
+		self:       self,
+		domain:     domain,
+		log:        log,
+		departures: newDepartures(),
+		fleetSize:  func() int { return 1 },
+		targets:    map[model.TargetID]*targetRecord{},
+		routes:     map[string]*routeRecord{},
 	}
 }
 
-// retain drops the targets that are not in the list.
+// retain drops the targets that are not in the list, except those that named a limit
+// recently: an entry that lapsed during an outage of the store may come back.
 func (s *targetStats) retain(list *model.TargetList) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id := range s.targets {
-		if list.ByID[id] == nil {
+	now := time.Now()
+	for id, r := range s.targets {
+		limited := r.state.Limited && now.Sub(r.stateAt) < announcementTTL
+		if list.ByID[id] == nil && !limited {
 			delete(s.targets, id)
 		}
 	}
@@ -179,6 +193,17 @@
 	return objective / 3
 }
 
+// fullFor bounds the time for which a target that rejected a request is not tried again: by
+// its turnover, or by the interval of the node's share if the target limits its rate. The
+// caller holds mu.
+func (s *targetStats) fullFor(r *targetRecord, t *model.Target, route *ingress.Route, reported time.Duration) time.Duration {
+	bound := s.turnover(t, route)
+	if r.state.Limited {
+		bound = max(bound, time.Duration(float64(time.Second)/s.shareOf(r.state.Rate)))
+	}
+	return min(reported, bound)
+}
+
 // turnover returns the time within which a busy target is expected to finish turnoverRuns
 // runs. The caller holds mu.
 func (s *targetStats) turnover(t *model.Target, route *ingress.Route) time.Duration {
@@ -239,6 +264,7 @@
 		ObjectiveRemaining: objectiveRemaining,
 		RoundTrip:          time.Duration(float64(r.roundTrip) * estimateWeight),
 		FailureRate:        r.load.FailureRate * decay(now.Sub(r.loadAt), failureHalfLife),
+		Throttled:          r.share.Until(1, now) > 0,
 		Unavailable:        now.Before(r.cooldownUntil) || r.load.Leaving && now.Sub(r.loadAt) < leavingCooldown,
 	}
 	if t.Domain != s.domain {
@@ -259,6 +285,7 @@
 	r := s.target(t, now)
 	r.sentSince++
 	r.inFlight++
+	r.share.Take(now)
 }
 
 // attemptEnded updates the estimates by the answer of an attempt that took the given time.
@@ -284,8 +311,9 @@
 	// The report may have been on its way for the whole of the round trip.
 	roundTrip := max(took-a.TimeAtNode, 0)
 	r.load, r.loadAt, r.sentSince = a.Load, now.Add(-roundTrip), 0
+	s.updateState(t, r, a.announced, now.Add(-roundTrip), now)
 	if a.FullFor > 0 {
-		r.fullUntil, r.fullRank = now.Add(min(a.FullFor, s.turnover(t, c.route))), c.route.Rank
+		r.fullUntil, r.fullRank = now.Add(s.fullFor(r, t, c.route, a.FullFor)), c.route.Rank
 	}
 	s.route(route).nested = a.Nested
 	if a.Outcome == model.OutcomeRan && !a.Failed {
--- a/plugins/sidecar/trace.go
+++ b/plugins/sidecar/trace.go
@@ -145,6 +145,7 @@
 		"running":         adm.loadAtArrival.Running,
 		"waiting":         adm.loadAtArrival.Waiting,
 		"slots":           adm.loadAtArrival.Slots,
+		"limit":           a.announced.loggedLimit(),
 		"waited_ms":       adm.waited.Milliseconds(),
 		"worked_ms":       a.RunTime.Milliseconds(),
 		"outcome":         a.Outcome.String(),
