Unknown headers of targets are counted in both profiles, and their retry delays read

The fleet profile's protocol has two headers of targets, both of which are read; a third one is now counted and logged.

--- a/model/exchange.go
+++ b/model/exchange.go
@@ -56,6 +56,9 @@
 	Encoded bool
 	// Load is the load that the target reports for itself, nil if it reports none.
 	Load *TargetLoad
+	// RetryAfter is the minimum delay that a target asks for that did not run the request,
+	// 0 if it asks for none.
+	RetryAfter time.Duration
 	// Limit is the request rate that the target accepts from all nodes together.
 	Limit RateLimit
 	// Leaving is set when the target announces its shutdown.
--- a/plugins/forwarding/headers.go
+++ b/plugins/forwarding/headers.go
@@ -43,6 +43,8 @@
 	// headerTargetShed is set to 1 by a target on a response with status 429 or
 	// 503 to declare that it did not execute the call.
 	headerTargetShed = "Bronzemast-Target-Shed"
+	// targetHeaderPrefix is the prefix of the headers by which a target describes itself.
+	targetHeaderPrefix = "Bronzemast-Target-"
 )
 
 // copyEndToEndHeaders adds the end-to-end headers of src to dst.
--- a/plugins/forwarding/metrics.go
+++ b/plugins/forwarding/metrics.go
@@ -21,6 +21,8 @@
 	crossedAnswers    *expvar.Int
 	abortedAnswers    *expvar.Int
 	badHops           *expvar.Int
+	// unknownHeaders counts responses of the target by unknown header.
+	unknownHeaders expvar.Map
 }
 
 func newMetrics(m *expvar.Map) *metrics {
@@ -41,6 +43,7 @@
 		abortedAnswers:    counter("aborted_answers"),
 		badHops:           counter("bad_hop_headers"),
 	}
+	m.Set("unknown_headers", all.unknownHeaders.Init())
 	for i := range all.entryOutcomes {
 		name := model.Outcome(i).String()
 		all.entryOutcomes[i] = counter("entry_" + name)
--- a/plugins/forwarding/setup.go
+++ b/plugins/forwarding/setup.go
@@ -11,8 +11,10 @@
 
 	"github.com/bronzemast/bronzemast/config"
 	"github.com/bronzemast/bronzemast/config/ingress"
+	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/finding"
 	"github.com/bronzemast/bronzemast/internal/jsonc"
+	"github.com/bronzemast/bronzemast/internal/unknownheader"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
 )
@@ -171,8 +173,11 @@
 		recorder:      d.recorder,
 		transport:     d.transport,
 		target:        newTarget(ctx.NodeSettings().TargetAddress, d.transport.DialTarget),
-		processStart:  time.Now(),
-		ledger:        newLedger(ctx.Incarnation(), f.settings.LedgerEntries, tokenAge, retention),
+		unknownHeaders: &unknownheader.Recorder{Counts: &m.unknownHeaders, OnNew: func(name string) {
+			ctx.Log().Emit(eventUnknownHeader, event.Fields{"header": name})
+		}},
+		processStart: time.Now(),
+		ledger:       newLedger(ctx.Incarnation(), f.settings.LedgerEntries, tokenAge, retention),
 	}
 }
 
--- a/plugins/forwarding/targetside.go
+++ b/plugins/forwarding/targetside.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/config"
+	"github.com/bronzemast/bronzemast/internal/unknownheader"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
@@ -26,7 +27,9 @@
 	recorder      model.Recorder
 	transport     model.Transport
 	target        *target
-	processStart  time.Time
+	// unknownHeaders counts the headers of the target that this program does not know.
+	unknownHeaders *unknownheader.Recorder
+	processStart   time.Time
 
 	mu     sync.Mutex
 	ledger *ledger
@@ -193,6 +196,7 @@
 		return model.AdmissionResult{ServiceTime: in.serviceTime, Failed: true}, t.errorReply(ctx, in, dispatched)
 	}
 	defer response.Body.Close()
+	t.unknownHeaders.Record(unknownheader.Names(response.Header, []string{targetHeaderPrefix}, []string{headerTargetShed}))
 	if declaresShed(response) {
 		in.serviceTime = time.Since(startTime)
 		return model.AdmissionResult{ServiceTime: in.serviceTime, Shed: true}, shedReply(response)
--- a/plugins/sidecar/announcement.go
+++ b/plugins/sidecar/announcement.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// maxUnknownHeaders bounds the unknown headers that are logged and counted by name.
-	maxUnknownHeaders = 16
 	// announcementTTL is how long a limit is remembered after its target was last listed.
 	announcementTTL = time.Minute
 	// rateLogInterval is the shortest time between two log lines about a limit that
@@ -252,27 +250,3 @@
 	}
 	return limits
 }
-
-// recordUnknownHeaders counts the unknown headers of an answer, and logs each name once.
-func (s *targetSide) recordUnknownHeaders(id model.TargetID, names []string) {
-	for _, name := range names {
-		if s.countHeader(name) {
-			s.log.Emit(eventUnknownHeader, event.Fields{"target": id, "header": name})
-		}
-	}
-}
-
-// countHeader counts an unknown header and reports whether it is the first with its name.
-func (s *targetSide) countHeader(name string) (first bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.loggedHeaders[name] {
-		if len(s.loggedHeaders) >= maxUnknownHeaders {
-			return false
-		}
-		s.loggedHeaders[name] = true
-		first = true
-	}
-	s.metrics.unknownHeaders.Add(name, 1)
-	return first
-}
--- a/plugins/sidecar/events.go
+++ b/plugins/sidecar/events.go
@@ -66,7 +66,7 @@
 		Number:  2208,
 		Level:   logrus.WarnLevel,
 		Message: "unknown header of the target",
-		Fields:  []string{"target", "header"},
+		Fields:  []string{"header"},
 		Meaning: "An answer of the host's own target has a header by which targets describe themselves and that this version does not know. It is logged once for each name.",
 		Action:  "Check whether the platform's protocol has changed; a later version of the node may act on the header.",
 	})
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -14,9 +14,11 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/config/ingress"
+	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/finding"
 	"github.com/bronzemast/bronzemast/internal/httpconn"
 	"github.com/bronzemast/bronzemast/internal/jsonc"
+	"github.com/bronzemast/bronzemast/internal/unknownheader"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/nesting"
@@ -158,8 +160,10 @@
 		origins:   nesting.New(),
 		log:       ctx.Log(),
 
-		loggedHeaders: map[string]bool{},
-		departures:    newDepartures(),
+		unknownHeaders: &unknownheader.Recorder{Counts: &m.unknownHeaders, OnNew: func(name string) {
+			ctx.Log().Emit(eventUnknownHeader, event.Fields{"header": name})
+		}},
+		departures: newDepartures(),
 	}
 	s.entry = &entry{
 		host:     ctx.Host(),
--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -89,7 +89,7 @@
 	if !head.WrongTarget {
 		s.observeAnnouncement(inst, h.Instance, head, start)
 	}
-	s.recordUnknownHeaders(h.Instance, head.UnknownHeaders)
+	s.unknownHeaders.Record(head.UnknownHeaders)
 	body, err := readBody(response.Body, answerLength(response, h.Method), 0)
 	if err != nil {
 		_ = response.Body.Close() // the body was cut off
@@ -104,7 +104,7 @@
 	switch {
 	case head.NotRun:
 		a.close()
-		a = &answer{result: result{Outcome: model.OutcomeNotRun, Reason: model.ReasonTargetRefused, ReachedTarget: true, RunTime: a.RunTime}}
+		a = &answer{result: result{Outcome: model.OutcomeNotRun, Reason: model.ReasonTargetRefused, ReachedTarget: true, RunTime: a.RunTime, RetryAfter: head.RetryAfter}}
 		if head.WrongTarget {
 			a.Reason = model.ReasonNoTarget
 			inst.recordReplaced()
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -11,6 +11,7 @@
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/internal/cborheader"
 	"github.com/bronzemast/bronzemast/internal/httpconn"
+	"github.com/bronzemast/bronzemast/internal/unknownheader"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/nesting"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/slotqueue"
@@ -32,10 +33,10 @@
 	mu        sync.Mutex
 	instances map[model.TargetID]*instance
 	origins   *nesting.Detector
-	// loggedHeaders holds the unknown headers of the target that were logged.
-	loggedHeaders map[string]bool
-	log           *event.Log
-	departures    *departures
+	log       *event.Log
+	// unknownHeaders counts the headers of the target that this program does not know.
+	unknownHeaders *unknownheader.Recorder
+	departures     *departures
 }
 
 // answer is the end of an attempt: its result and, if the target answered, the response.
