--- a/internal/httpget/httpget.go
+++ b/internal/httpget/httpget.go
@@ -30,22 +30,32 @@
 	MaxBodyBytes int64
 }
 
-// Get sends a request and returns the status and the body of its response.
-func Get(ctx context.Context, client *http.Client, target *url.URL, l Limits) (status int, body []byte, err error) {
+// Response is a response that was received completely.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Get sends a request and returns its response.
+func Get(ctx context.Context, client *http.Client, target *url.URL, l Limits) (*Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timer := time.AfterFunc(l.HeaderTimeout, cancel)
 	defer timer.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
-		return 0, nil, err
+		return nil, err
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return 0, nil, err
+		return nil, err
 	}
 	timer.Reset(l.BodyTimeout)
 	defer func() { _ = response.Body.Close() }() // the body was read or has failed
-	body, err = io.ReadAll(io.LimitReader(response.Body, l.MaxBodyBytes))
-	return response.StatusCode, body, err
+	body, err := io.ReadAll(io.LimitReader(response.Body, l.MaxBodyBytes))
+	if err != nil {
+		return nil, err
+	}
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
--- a/internal/httpget/httpget_test.go
+++ b/internal/httpget/httpget_test.go
@@ -46,14 +46,14 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			target := &url.URL{Scheme: "http", Host: server.Listener.Addr().String(), Path: c.path}
-			status, body, err := Get(t.Context(), server.Client(), target, c.limits)
+			response, err := Get(t.Context(), server.Client(), target, c.limits)
 			if c.fails {
 				g.Expect(err).To(HaveOccurred())
 				return
 			}
 			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(status).To(Equal(c.status))
-			g.Expect(string(body)).To(Equal(c.body))
+			g.Expect(response.Status).To(Equal(c.status))
+			g.Expect(string(response.Body)).To(Equal(c.body))
 		})
 	}
 }
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/bronzemast/bronzemast/finding"
+	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
 )
 
@@ -57,16 +58,17 @@
 	LoadAgeMs  int64   `json:"load_age_ms"`
 	ExpectedMs int64   `json:"expected_ms"`
 	// Limit is the rate that the target accepts, in requests per second.
-	Limit          float64 `json:"limit"`
-	StartWithinMs  int64   `json:"start_within_ms"`
-	QueuedMs       int64   `json:"waited_ms"`
-	ServiceTimeMs  int64   `json:"worked_ms"`
-	DurationMs     int64   `json:"took_ms"`
-	TimeLeftMs     int64   `json:"left_ms"`
-	RetryAfterMs   int64   `json:"retry_after_ms"`
-	Configuration  uint64  `json:"configuration"`
-	Revision       uint64  `json:"revision"`
-	SenderRevision uint64  `json:"sender_revision"`
+	Limit         float64 `json:"limit"`
+	StartWithinMs int64   `json:"start_within_ms"`
+	QueuedMs      int64   `json:"waited_ms"`
+	ServiceTimeMs int64   `json:"worked_ms"`
+	DurationMs    int64   `json:"took_ms"`
+	TimeLeftMs    int64   `json:"left_ms"`
+	RetryAfterMs  int64   `json:"retry_after_ms"`
+	Configuration uint64  `json:"configuration"`
+	// Revision and SenderRevision are positions of the store.
+	Revision       model.Position `json:"revision"`
+	SenderRevision model.Position `json:"sender_revision"`
 }
 
 // History holds the log lines of one request.
@@ -206,13 +208,13 @@
 		return fmt.Sprintf("attempt %d at target %s: %s after %d ms; estimated %.0f of %d slots occupied, based on %s",
 			l.Hop, l.Target, l.result(), l.DurationMs, l.Occupied, l.Slots, l.loadText())
 	case eventTargetSide:
-		return fmt.Sprintf("target side of %s: %s; found %d running and %d waiting for %d slots, expected a service time of %d ms, queued for %d ms, service time %d ms; revision %d, sender's revision %d",
+		return fmt.Sprintf("target side of %s: %s; found %d running and %d waiting for %d slots, expected a service time of %d ms, queued for %d ms, service time %d ms; revision %s, sender's revision %s",
 			l.Target, l.result(), l.Running, l.Waiting, l.Slots, l.ExpectedMs, l.QueuedMs, l.ServiceTimeMs, l.Revision, l.SenderRevision)
 	case eventRejected:
-		return fmt.Sprintf("rejected by the entry node: %s, status %d; authority %q, path %q, configuration %d, revision %d",
+		return fmt.Sprintf("rejected by the entry node: %s, status %d; authority %q, path %q, configuration %d, revision %s",
 			l.Reason, l.Status, l.Authority, l.Path, l.Configuration, l.Revision)
 	default:
-		return fmt.Sprintf("end: %s, status %d, after %d ms and %d hops; configuration %d, revision %d",
+		return fmt.Sprintf("end: %s, status %d, after %d ms and %d hops; configuration %d, revision %s",
 			l.result(), l.Status, l.DurationMs, l.Hops, l.Configuration, l.Revision)
 	}
 }
@@ -252,8 +254,8 @@
 func (h *History) Conclusion() string {
 	conclusion := h.cause()
 	targetSide := h.lastLine(eventTargetSide)
-	if targetSide != nil && targetSide.SenderRevision < targetSide.Revision {
-		conclusion += fmt.Sprintf(" Its entry node acted on revision %d of the store while the target's node had revision %d.", targetSide.SenderRevision, targetSide.Revision)
+	if targetSide != nil && targetSide.SenderRevision.Before(targetSide.Revision) {
+		conclusion += fmt.Sprintf(" Its entry node acted on revision %s of the store while the target's node had revision %s.", targetSide.SenderRevision, targetSide.Revision)
 	}
 	return conclusion
 }
@@ -291,7 +293,7 @@
 	case end.Reason == "canceled":
 		return fmt.Sprintf("The caller canceled the request after %d ms.", end.DurationMs)
 	case end.Reason == "no-target" || end.Reason == "unreachable" || end.Reason == "draining":
-		return fmt.Sprintf("No target of service %s accepted the request (%s); the target list was that of revision %d.", end.Service, end.Reason, end.Revision)
+		return fmt.Sprintf("No target of service %s accepted the request (%s); the target list was that of revision %s.", end.Service, end.Reason, end.Revision)
 	case end.Reason == "target-refused":
 		return "The target itself reported that it did not run the request, and no retry was left."
 	default:
@@ -304,11 +306,11 @@
 func (l *Line) rejectionCause() string {
 	switch l.Reason {
 	case "no-route":
-		return fmt.Sprintf("No route of configuration %d, which the entry node had at revision %d of the store, matches authority %q and path %q.", l.Configuration, l.Revision, l.Authority, l.Path)
+		return fmt.Sprintf("No route of configuration %d, which the entry node had at revision %s of the store, matches authority %q and path %q.", l.Configuration, l.Revision, l.Authority, l.Path)
 	case "no-configuration":
 		return "The entry node had no configuration yet."
 	case "stale-configuration":
-		return fmt.Sprintf("The entry node could not learn whether its configuration %d, of revision %d of the store, was still the latest one.", l.Configuration, l.Revision)
+		return fmt.Sprintf("The entry node could not learn whether its configuration %d, of revision %s of the store, was still the latest one.", l.Configuration, l.Revision)
 	case "draining":
 		return fmt.Sprintf("The entry node was shutting down; the caller was asked to retry after %d ms.", l.RetryAfterMs)
 	default:
--- a/model/store.go
+++ b/model/store.go
@@ -13,15 +13,16 @@
 type Item struct {
 	_   struct{} `cbor:",toarray"`
 	Key string
-	// Revision is the store's revision at which this version was written.
-	Revision uint64
+	// Position is that of the store when this version was written, in the era in which it
+	// was read.
+	Position Position
 	Data     []byte
 	Removed  bool
 }
 
 // ErrCompacted is returned by a Store whose history no longer reaches back to the
-// requested revision; the caller must list the items again.
-var ErrCompacted = errors.New("requested revision has been compacted by the store")
+// requested position; the caller must list the items again.
+var ErrCompacted = errors.New("the store has no history after the requested position")
 
 // ErrRateLimited is returned by a Store that rejects a call because the rate limit is
 // exceeded.
@@ -30,14 +31,15 @@
 // Store reads the platform's store. Each call counts against the rate limit that the
 // platform applies to the whole fleet.
 type Store interface {
-	// List returns all items and a revision up to which they are complete; Watch
-	// after that revision returns all later changes. A stale list may be seconds old
+	// List returns all items and a position up to which they are complete; Watch
+	// after that position returns all later changes. A stale list may be seconds old
 	// and does not count against the rate limit.
-	List(ctx context.Context, stale bool) ([]Item, uint64, error)
-	// Watch returns the changes after a revision as soon as there are any, or none
-	// once wait has elapsed, and the revision up to which they are complete. It
-	// returns ErrCompacted when the history after the revision is not available.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Item, uint64, error)
+	List(ctx context.Context, stale bool) ([]Item, Position, error)
+	// Watch returns the changes after a position as soon as there are any, or none
+	// once wait has elapsed, and the position up to which they are complete. It
+	// returns ErrCompacted when the history after the position is not available, as
+	// after the store has been restored.
+	Watch(ctx context.Context, after Position, wait time.Duration) ([]Item, Position, error)
 }
 
 // ItemKind is the type of an item's content.
@@ -67,10 +69,10 @@
 	Current() bool
 	// Targets returns the list of targets; it is never nil.
 	Targets() *TargetList
-	// Revision returns the store's revision that the copy has reached.
-	Revision() uint64
-	// ObserveRevision records that the node at a peer address has reached a revision.
-	ObserveRevision(peer string, revision uint64)
+	// Position returns the store's position that the copy has reached.
+	Position() Position
+	// ObservePosition records that the node at a peer address has reached a position.
+	ObservePosition(peer string, position Position)
 	// Subscribe calls f after each change of the targets, on one goroutine. It
 	// must be called before the node starts.
 	Subscribe(f func(*TargetList))
--- a/model/target.go
+++ b/model/target.go
@@ -27,14 +27,14 @@
 	SlowStartRemaining time.Duration
 	// StartedAt is the time at which this incarnation started.
 	StartedAt time.Time
-	// Revision is the store's revision of the entry.
-	Revision uint64
+	// Position is the store's position at which the entry was written.
+	Position Position
 }
 
 // TargetList is an immutable list of targets.
 type TargetList struct {
-	// Revision is the store's revision that the list reflects.
-	Revision uint64
+	// Position is the store's position that the list reflects.
+	Position Position
 	// ByID holds all targets, and ByService those of each service, sorted by ID.
 	ByID      map[TargetID]*Target
 	ByService map[string][]*Target
--- a/plugins/replica/apply.go
+++ b/plugins/replica/apply.go
@@ -12,7 +12,7 @@
 // update is the result of one read of the store or of a peer's copy.
 type update struct {
 	items    []model.Item
-	revision uint64
+	position model.Position
 	// complete is set when the items are the whole copy and not just changes.
 	complete bool
 	// peerGap is the gap of the peer's copy.
@@ -29,38 +29,66 @@
 func (r *Replica) apply(u update) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	var changes []model.Item
-	if u.complete {
-		if u.revision >= r.copy.revision {
-			changes = r.copy.replace(u.items, u.revision)
-		}
-	} else {
-		changes = r.copy.applyFromPeer(u.items, u.revision, u.peerGap)
-	}
+	c := change{via: u.via, at: time.Now(), restored: r.restores(u)}
+	earlier := r.copy.position
+	items := r.applyToCopy(u)
 	r.confirm(u)
 	targetsChanged := false
-	for _, item := range changes {
+	for _, item := range items {
 		switch r.decoder.Kind(item.Key) {
 		case model.ItemConfiguration:
 			r.applyConfiguration(item, u.via)
 		case model.ItemTarget:
-			r.applyTarget(item, u.via, now)
+			r.applyTarget(item, c)
 			targetsChanged = true
 		}
 	}
+	if c.restored {
+		r.logRestore(earlier, len(items), u.via)
+	}
 	if targetsChanged {
 		r.publishTargets()
 	}
-	r.revision.Store(r.copy.revision)
+	position := r.copy.position
+	r.position.Store(&position)
 	r.renewLease()
 	r.wakeWaiters()
 }
 
+// change describes the update that changed an item.
+type change struct {
+	via string
+	at  time.Time
+	// restored is set if the store was restored from an older copy.
+	restored bool
+}
+
+// restores reports whether an update is the first one of a later era. The caller holds mu.
+func (r *Replica) restores(u update) bool {
+	return u.complete && !r.copy.position.IsZero() && u.position.Era > r.copy.position.Era
+}
+
+// applyToCopy applies an update to the copy and returns the items that changed. The caller
+// holds mu.
+func (r *Replica) applyToCopy(u update) []model.Item {
+	switch {
+	case !u.complete:
+		return r.copy.applyFromPeer(u.items, u.position, u.peerGap)
+	case u.position.Before(r.copy.position):
+		return nil
+	default:
+		return r.copy.replace(u.items, u.position)
+	}
+}
+
+func (r *Replica) logRestore(earlier model.Position, changes int, via string) {
+	r.log.Emit(eventRestored, event.Fields{"revision": r.copy.position, "earlier": earlier, "changes": changes, "via": via})
+}
+
 // confirm updates the time at which the copy was last known to be up to date. The caller
 // holds mu.
 func (r *Replica) confirm(u update) {
-	if !u.stale && u.revision >= r.copy.revision {
+	if !u.stale && !u.position.Before(r.copy.position) {
 		r.fresh.confirm(u.confirmed)
 	}
 }
@@ -73,13 +101,13 @@
 	table, err := r.compile(item)
 	if err != nil {
 		r.metrics.refused.Add(1)
-		r.log.Emit(eventRefused, event.Fields{"revision": item.Revision, "via": via, "error": err.Error()})
+		r.log.Emit(eventRefused, event.Fields{"revision": item.Position, "via": via, "error": err.Error()})
 		return
 	}
 	r.table.Store(table)
 	r.log.Emit(eventApplied, event.Fields{
 		"configuration": table.Number,
-		"revision":      item.Revision,
+		"revision":      item.Position,
 		"routes":        len(table.Routes()),
 		"via":           via,
 	})
@@ -98,38 +126,58 @@
 	return ingress.Compile(document)
 }
 
+// The states of a target's entry as logged.
+const (
+	entryReady    = "ready"
+	entryLeaving  = "leaving"
+	entryGone     = "gone"
+	entryDeferred = "deferred"
+)
+
 // applyTarget adds, replaces or removes a target. The caller holds mu.
-func (r *Replica) applyTarget(item model.Item, via string, now time.Time) {
-	fields := event.Fields{"target": item.Key, "service": "", "state": "gone", "revision": item.Revision, "via": via}
+func (r *Replica) applyTarget(item model.Item, c change) {
+	fields := event.Fields{"target": item.Key, "service": "", "state": entryGone, "revision": item.Position, "via": c.via}
 	if item.Removed {
-		// An entry that lapsed during an outage of the store is renewed soon after it
-		// if its target is alive.
-		r.targets.remove(item.Key, r.outage.endedAt.Add(r.settings.ReturnGrace.Std()), now)
+		r.targets.remove(item.Key, r.removalTime(c), c.at)
 		r.log.Emit(eventTarget, fields)
 		return
 	}
 	target, err := r.decoder.Target(item)
 	if err != nil {
 		r.metrics.unreadable.Add(1)
-		r.log.Emit(eventEntry, event.Fields{"revision": item.Revision, "error": err.Error()})
-		r.targets.remove(item.Key, now, now)
+		r.log.Emit(eventEntry, event.Fields{"revision": item.Position, "error": err.Error()})
+		r.targets.remove(item.Key, c.at, c.at)
 		return
 	}
-	r.targets.set(item.Key, target)
 	fields["service"] = target.Service
-	fields["state"] = "ready"
+	fields["state"] = entryReady
 	if target.Leaving {
-		fields["state"] = "leaving"
+		fields["state"] = entryLeaving
+	}
+	if !c.restored {
+		r.targets.set(target, item, c.at)
+	} else if !r.targets.setRestored(target, item, c.at.Add(r.settings.RestoreGrace.Std()), c.at) {
+		fields["state"] = entryDeferred
 	}
 	r.log.Emit(eventTarget, fields)
 }
 
-// publishTargets publishes the list of targets and starts a timer for the next end of a
-// grace period. The caller holds mu.
+// removalTime returns when a target whose entry is missing is removed. An entry that lapsed
+// during an outage of the store, or that the store has lost, is written again soon after if
+// its target is alive. The caller holds mu.
+func (r *Replica) removalTime(c change) time.Time {
+	if c.restored {
+		return c.at.Add(r.settings.ReturnGrace.Std())
+	}
+	return r.outage.endedAt.Add(r.settings.ReturnGrace.Std())
+}
+
+// publishTargets publishes the list of targets and starts a timer for its next change by
+// time. The caller holds mu.
 func (r *Replica) publishTargets() {
 	now := time.Now()
 	_, next := r.targets.expire(now)
-	list := r.targets.list(r.copy.revision)
+	list := r.targets.list(r.copy.position)
 	r.list.Store(list)
 	r.links.retain(r.self, list.Hosts)
 	if !next.IsZero() {
--- a/plugins/replica/copy_test.go
+++ b/plugins/replica/copy_test.go
@@ -11,6 +11,12 @@
 	"github.com/bronzemast/bronzemast/model"
 )
 
+// testEra is the era of the positions that at returns.
+const testEra = 1
+
+// at returns the position of a revision.
+func at(revision uint64) model.Position { return model.Position{Era: testEra, Revision: revision} }
+
 // modelStore is a reference model of the store that keeps its whole history.
 type modelStore struct {
 	revision uint64
@@ -20,7 +26,7 @@
 
 func (s *modelStore) put(key string) {
 	s.revision++
-	item := model.Item{Key: key, Revision: s.revision, Data: []byte(fmt.Sprint(s.revision))}
+	item := model.Item{Key: key, Position: at(s.revision), Data: []byte(fmt.Sprint(s.revision))}
 	s.held[key] = item
 	s.changes = append(s.changes, item)
 }
@@ -31,7 +37,7 @@
 	}
 	s.revision++
 	delete(s.held, key)
-	s.changes = append(s.changes, model.Item{Key: key, Revision: s.revision, Removed: true})
+	s.changes = append(s.changes, model.Item{Key: key, Position: at(s.revision), Removed: true})
 }
 
 func (s *modelStore) list() []model.Item {
@@ -58,28 +64,28 @@
 			case 2:
 				store.remove(key.Draw(t, "key"))
 			case 3:
-				c.apply(store.changes[min(int(c.revision), len(store.changes)):], store.revision)
+				c.apply(store.changes[min(int(c.position.Revision), len(store.changes)):], at(store.revision))
 			case 4:
-				if store.revision >= c.revision {
-					c.replace(store.list(), store.revision)
+				if store.revision >= c.position.Revision {
+					c.replace(store.list(), at(store.revision))
 				}
 			case 5:
 				peer := copies[rapid.IntRange(0, 2).Draw(t, "peer")]
-				items, complete := peer.since(c.revision)
-				if complete && peer.revision >= c.revision {
-					c.replace(items, peer.revision)
+				items, complete := peer.since(c.position)
+				if complete && !peer.position.Before(c.position) {
+					c.replace(items, peer.position)
 				} else if !complete {
-					c.applyFromPeer(items, peer.revision, peer.gap)
+					c.applyFromPeer(items, peer.position, peer.gap)
 				}
 			}
 			past[store.revision] = maps.Clone(store.held)
 			for _, c := range copies {
-				if len(c.items) != len(past[c.revision]) {
-					t.Fatalf("revision %d: the copy holds %v, the store held %v", c.revision, c.items, past[c.revision])
+				if len(c.items) != len(past[c.position.Revision]) {
+					t.Fatalf("revision %s: the copy holds %v, the store held %v", c.position, c.items, past[c.position.Revision])
 				}
-				for key, item := range past[c.revision] {
-					if c.items[key].Revision != item.Revision {
-						t.Fatalf("revision %d: %s is of revision %d, not %d", c.revision, key, c.items[key].Revision, item.Revision)
+				for key, item := range past[c.position.Revision] {
+					if c.items[key].Position != item.Position {
+						t.Fatalf("revision %s: %s is of revision %s, not %s", c.position, key, c.items[key].Position, item.Position)
 					}
 				}
 			}
@@ -92,31 +98,31 @@
 // gap and send the third copy everything, or d would stay there.
 func TestCopyTakesOverGapOfPeer(t *testing.T) {
 	g := NewWithT(t)
-	a := model.Item{Key: "a", Revision: 1}
-	d := model.Item{Key: "d", Revision: 2}
+	a := model.Item{Key: "a", Position: at(1)}
+	d := model.Item{Key: "d", Position: at(2)}
 	first, second, third := newCopy(), newCopy(), newCopy()
-	first.apply([]model.Item{a}, 1)
-	second.apply([]model.Item{a}, 1)
-	third.apply([]model.Item{a, d}, 2)
-	second.replace([]model.Item{a}, 3)
+	first.apply([]model.Item{a}, at(1))
+	second.apply([]model.Item{a}, at(1))
+	third.apply([]model.Item{a, d}, at(2))
+	second.replace([]model.Item{a}, at(3))
 
-	items, complete := second.since(first.revision)
+	items, complete := second.since(first.position)
 	g.Expect(complete).To(BeFalse())
-	first.applyFromPeer(items, second.revision, second.gap)
-	items, complete = first.since(third.revision)
+	first.applyFromPeer(items, second.position, second.gap)
+	items, complete = first.since(third.position)
 	g.Expect(complete).To(BeTrue(), "the removal of d is not known")
-	third.replace(items, first.revision)
+	third.replace(items, first.position)
 	g.Expect(third.items).NotTo(HaveKey("d"))
 }
 
 func TestOlderVersionIsIgnored(t *testing.T) {
 	g := NewWithT(t)
 	c := newCopy()
-	g.Expect(c.apply([]model.Item{{Key: "a", Revision: 5}}, 5)).To(HaveLen(1))
-	g.Expect(c.apply([]model.Item{{Key: "a", Revision: 4}}, 4)).To(BeEmpty())
-	g.Expect(c.revision).To(Equal(uint64(5)))
-	g.Expect(c.apply([]model.Item{{Key: "a", Revision: 6, Removed: true}}, 6)).To(HaveLen(1))
-	g.Expect(c.apply([]model.Item{{Key: "a", Revision: 5}}, 6)).To(BeEmpty(), "an older version of a removed item does not restore it")
+	g.Expect(c.apply([]model.Item{{Key: "a", Position: at(5)}}, at(5))).To(HaveLen(1))
+	g.Expect(c.apply([]model.Item{{Key: "a", Position: at(4)}}, at(4))).To(BeEmpty())
+	g.Expect(c.position).To(Equal(at(5)))
+	g.Expect(c.apply([]model.Item{{Key: "a", Position: at(6), Removed: true}}, at(6))).To(HaveLen(1))
+	g.Expect(c.apply([]model.Item{{Key: "a", Position: at(5)}}, at(6))).To(BeEmpty(), "an older version of a removed item does not restore it")
 }
 
 func TestOldestRemovalsAreCompactedFirst(t *testing.T) {
@@ -126,24 +132,24 @@
 	for i := range 2 * maxRemovals {
 		key := fmt.Sprint(i)
 		revision++
-		c.apply([]model.Item{{Key: key, Revision: revision}}, revision)
+		c.apply([]model.Item{{Key: key, Position: at(revision)}}, at(revision))
 		revision++
-		c.apply([]model.Item{{Key: key, Revision: revision, Removed: true}}, revision)
+		c.apply([]model.Item{{Key: key, Position: at(revision), Removed: true}}, at(revision))
 	}
 	g.Expect(c.removals).To(HaveLen(maxRemovals))
-	_, complete := c.since(revision - 10)
+	_, complete := c.since(at(revision - 10))
 	g.Expect(complete).To(BeFalse())
-	_, complete = c.since(1)
+	_, complete = c.since(at(1))
 	g.Expect(complete).To(BeTrue(), "a peer that is far behind gets the whole copy")
 }
 
 func TestCompactedRevisionNeverFalls(t *testing.T) {
 	g := NewWithT(t)
 	c := newCopy()
-	c.replace(nil, 9000)
-	g.Expect(c.compacted).To(Equal(uint64(9000)))
+	c.replace(nil, at(9000))
+	g.Expect(c.compacted).To(Equal(at(9000)))
 	for i := range uint64(maxRemovals + 1) {
-		c.put(model.Item{Key: "k", Revision: i + 1, Removed: true})
+		c.put(model.Item{Key: "k", Position: at(i + 1), Removed: true})
 	}
-	g.Expect(c.compacted).To(Equal(uint64(9000)), "removals up to 9000 are not complete")
+	g.Expect(c.compacted).To(Equal(at(9000)), "removals up to 9000 are not complete")
 }
--- a/plugins/replica/events.go
+++ b/plugins/replica/events.go
@@ -38,6 +38,14 @@
 		Meaning: "An entry of the list of targets was added, changed or removed.",
 		Action:  "None.",
 	})
+	eventRestored = event.Define(event.Event{
+		Number:  2109,
+		Level:   logrus.WarnLevel,
+		Message: "store was restored",
+		Fields:  []string{"revision", "earlier", "changes", "via"},
+		Meaning: "The platform's store has come back from an older copy: its era has risen and its revision may have fallen. The node has replaced its copy, which was at position earlier, and changes items differ. The configuration in force does not go back. Targets whose entries are missing count for return_grace more, and entries that had been replaced or removed count after restore_grace, unless they are written again before.",
+		Action:  "Check that the operator's latest configuration and the targets' entries have been written again.",
+	})
 	eventStoreLost = event.Define(event.Event{
 		Number:  2104,
 		Level:   logrus.WarnLevel,
--- a/plugins/replica/fetch.go
+++ b/plugins/replica/fetch.go
@@ -30,7 +30,7 @@
 		r.peerFailed(peer, err)
 		return nil
 	}
-	items, err := r.unpackAll(response.Items)
+	items, err := r.unpackAll(response)
 	if err != nil {
 		r.peerFailed(peer, err)
 		return nil
@@ -53,28 +53,28 @@
 	r.mu.Unlock()
 	r.apply(update{
 		items:     items,
-		revision:  response.Revision,
+		position:  response.position(),
 		complete:  response.Complete,
-		peerGap:   gap{after: response.GapAfter, before: response.GapBefore},
+		peerGap:   response.gap(),
 		confirmed: confirmed,
 		via:       peer,
 	})
 	return response
 }
 
-// peerRequest returns a request for the changes after the copy's revision.
+// peerRequest returns a request for the changes after the copy's position.
 func (r *Replica) peerRequest(wait time.Duration) peerRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return peerRequest{after: r.copy.revision, wait: wait, mbps: r.settings.LinkMbps, links: r.links.digest, held: r.copy.deltaBases()}
+	return peerRequest{after: r.copy.position, wait: wait, mbps: r.settings.LinkMbps, links: r.links.digest, held: r.copy.deltaBases()}
 }
 
 // unpackAll decompresses the items of a peer's response.
-func (r *Replica) unpackAll(packed []peerItem) ([]model.Item, error) {
-	items := make([]model.Item, len(packed))
-	for i, p := range packed {
+func (r *Replica) unpackAll(response *peerResponse) ([]model.Item, error) {
+	items := make([]model.Item, len(response.Items))
+	for i, p := range response.Items {
 		var err error
-		if items[i], err = unpack(p, r.heldItem); err != nil {
+		if items[i], err = unpack(p, response.era, r.heldItem); err != nil {
 			return nil, err
 		}
 	}
--- a/plugins/replica/fleet_test.go
+++ b/plugins/replica/fleet_test.go
@@ -7,9 +7,11 @@
 	"expvar"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -30,8 +32,10 @@
 
 // fakeStore is a store in memory.
 type fakeStore struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// items holds all writes; the index of one is its revision less 1.
 	items   []model.Item
+	era     uint64
 	changed chan struct{}
 	// down is set while no call is answered.
 	down bool
@@ -42,17 +46,61 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{changed: make(chan struct{}), publishedAt: map[uint64]time.Time{}}
+	return &fakeStore{era: 1, changed: make(chan struct{}), publishedAt: map[uint64]time.Time{}}
 }
 
 func (s *fakeStore) put(key, data string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.items = append(s.items, model.Item{Key: key, Revision: uint64(len(s.items) + 1), Data: []byte(data)})
+	s.items = append(s.items, model.Item{Key: key, Position: s.next(), Data: []byte(data)})
+	s.wake()
+}
+
+// remove removes an item.
+func (s *fakeStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items = append(s.items, model.Item{Key: key, Position: s.next(), Removed: true})
+	s.wake()
+}
+
+// next returns the position of the next write. The caller holds mu.
+func (s *fakeStore) next() model.Position {
+	return model.Position{Era: s.era, Revision: uint64(len(s.items) + 1)}
+}
+
+// wake wakes the watches. The caller holds mu.
+func (s *fakeStore) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// restore replaces the content by a copy without the last writes, which it returns.
+func (s *fakeStore) restore(lost int) []model.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := max(len(s.items)-lost, 0)
+	writes := slices.Clone(s.items[kept:])
+	s.items = slices.Clone(s.items[:kept])
+	s.era++
+	for i := range s.items {
+		s.items[i].Position.Era = s.era
+	}
+	s.wake()
+	return writes
+}
+
+// rewrite writes lost writes again.
+func (s *fakeStore) rewrite(writes []model.Item) {
+	for _, w := range writes {
+		if w.Removed {
+			s.remove(w.Key)
+		} else {
+			s.put(w.Key, string(w.Data))
+		}
+	}
+}
+
 // configure publishes a configuration with a number above 0.
 func (s *fakeStore) configure(number uint64) {
 	s.put(configurationKey, strconv.FormatUint(number, 10))
@@ -80,11 +128,26 @@
 	s.down = down
 }
 
-func (s *fakeStore) since(revision uint64) (items []model.Item, upTo uint64, changed chan struct{}, down bool) {
+// since returns the writes after a position, and the position up to which they are complete.
+func (s *fakeStore) since(after model.Position) (items []model.Item, upTo model.Position, changed chan struct{}, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	upTo = model.Position{Era: s.era, Revision: uint64(len(s.items))}
+	return append(items, s.items[min(after.Revision, upTo.Revision):]...), upTo, s.changed, s.down
+}
+
+// list returns the present items.
+func (s *fakeStore) list() []model.Item {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	upTo = uint64(len(s.items))
-	return append(items, s.items[min(revision, upTo):]...), upTo, s.changed, s.down
+	held := map[string]model.Item{}
+	for _, item := range s.items {
+		held[item.Key] = item
+		if item.Removed {
+			delete(held, item.Key)
+		}
+	}
+	return slices.Collect(maps.Values(held))
 }
 
 // takeCalls returns the number of calls since it was last called.
@@ -108,12 +171,25 @@
 var errNoAnswer = errors.New("the store does not answer")
 
 // List implements model.Store.
-func (s hostStore) List(ctx context.Context, _ bool) ([]model.Item, uint64, error) {
-	return s.Watch(ctx, 0, 0)
+func (s hostStore) List(ctx context.Context, _ bool) ([]model.Item, model.Position, error) {
+	_, upTo, err := s.call(ctx, model.Position{}, 0)
+	if err != nil {
+		return nil, model.Position{}, err
+	}
+	return s.list(), upTo, nil
 }
 
 // Watch implements model.Store.
-func (s hostStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]model.Item, uint64, error) {
+func (s hostStore) Watch(ctx context.Context, after model.Position, wait time.Duration) ([]model.Item, model.Position, error) {
+	items, upTo, err := s.call(ctx, after, wait)
+	if err == nil && upTo.Era != after.Era {
+		return nil, model.Position{}, model.ErrCompacted
+	}
+	return items, upTo, err
+}
+
+// call returns the writes after a position, once there are any or wait has elapsed.
+func (s hostStore) call(ctx context.Context, after model.Position, wait time.Duration) ([]model.Item, model.Position, error) {
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
@@ -127,9 +203,9 @@
 			case <-timeout:
 			case <-ctx.Done():
 			}
-			return nil, 0, errNoAnswer
+			return nil, model.Position{}, errNoAnswer
 		}
-		if len(items) > 0 {
+		if len(items) > 0 || upTo.Era != after.Era && !after.IsZero() {
 			return items, upTo, nil
 		}
 		select {
@@ -137,7 +213,7 @@
 		case <-timer.C:
 			return nil, upTo, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, model.Position{}, ctx.Err()
 		}
 	}
 }
@@ -167,7 +243,7 @@
 		Address:  netip.MustParseAddrPort(item.Key),
 		Domain:   string(item.Data),
 		Slots:    1,
-		Revision: item.Revision,
+		Position: item.Position,
 	}, nil
 }
 
--- a/plugins/replica/lease.go
+++ b/plugins/replica/lease.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/bronzemast/bronzemast/model"
 )
 
 // storeFailureTTL is how long a failed call to the store counts as evidence of an outage:
@@ -18,8 +20,8 @@
 	failure storeFailure
 	// reportedAt is when a call to the store last failed according to another node.
 	reportedAt time.Time
-	// newestRevision is the highest revision that another node has reported.
-	newestRevision uint64
+	// newestPosition is the latest position that another node has reported.
+	newestPosition model.Position
 }
 
 // storeFailure is a failed call to the store.
@@ -76,11 +78,11 @@
 // maxStaleness after the copy was last known to be up to date, so that a node that cannot
 // learn of changes does not act on an old configuration. During an outage of the store,
 // when no node can learn of changes, the copy remains usable, unless another node has a
-// later revision.
-func (f *freshness) expiry(revision uint64, maxStaleness time.Duration) time.Time {
+// later position.
+func (f *freshness) expiry(position model.Position, maxStaleness time.Duration) time.Time {
 	until := f.confirmed.Add(maxStaleness)
 	failedAt := f.storeFailedAt()
-	if f.newestRevision > revision || f.confirmed.IsZero() || failedAt.IsZero() {
+	if f.newestPosition.After(position) || f.confirmed.IsZero() || failedAt.IsZero() {
 		return until
 	}
 	return latest(until, failedAt.Add(storeFailureTTL))
@@ -113,7 +115,7 @@
 // renewLease recomputes the time until which requests may be routed by the copy. The
 // caller holds mu.
 func (r *Replica) renewLease() {
-	expiry := r.fresh.expiry(r.copy.revision, r.settings.MaxStaleness.Std())
+	expiry := r.fresh.expiry(r.copy.position, r.settings.MaxStaleness.Std())
 	r.lease.extendTo(expiry, !r.hasPeers() && !r.fresh.confirmed.IsZero())
 }
 
--- a/plugins/replica/lease_test.go
+++ b/plugins/replica/lease_test.go
@@ -21,12 +21,12 @@
 		"never confirmed":           {freshness{reportedAt: reported}, time.Time{}.Add(testMaxStaleness)},
 		"confirmed":                 {freshness{confirmed: confirmed}, confirmed.Add(testMaxStaleness)},
 		"outage reported":           {freshness{confirmed: confirmed, reportedAt: reported}, reported.Add(storeFailureTTL)},
-		"peer has a later revision": {freshness{confirmed: confirmed, reportedAt: reported, newestRevision: 8}, confirmed.Add(testMaxStaleness)},
-		"peer has the revision":     {freshness{confirmed: confirmed, reportedAt: reported, newestRevision: 7}, reported.Add(storeFailureTTL)},
+		"peer has a later revision": {freshness{confirmed: confirmed, reportedAt: reported, newestPosition: at(8)}, confirmed.Add(testMaxStaleness)},
+		"peer has the revision":     {freshness{confirmed: confirmed, reportedAt: reported, newestPosition: at(7)}, reported.Add(storeFailureTTL)},
 		"outage ended":              {freshness{confirmed: reported, reportedAt: confirmed}, reported.Add(testMaxStaleness)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			NewWithT(t).Expect(c.fresh.expiry(7, testMaxStaleness)).To(BeTemporally("==", c.want))
+			NewWithT(t).Expect(c.fresh.expiry(at(7), testMaxStaleness)).To(BeTemporally("==", c.want))
 		})
 	}
 }
--- a/plugins/replica/links_test.go
+++ b/plugins/replica/links_test.go
@@ -150,7 +150,7 @@
 
 func TestPeerRequestRoundTripsThroughQuery(t *testing.T) {
 	g := NewWithT(t)
-	q := peerRequest{after: 7, wait: 600 * time.Millisecond, mbps: 2.5, links: 1 << 63, held: map[string]uint64{"a:b c": 5, "d": 1}}
+	q := peerRequest{after: at(7), wait: 600 * time.Millisecond, mbps: 2.5, links: 1 << 63, held: map[string]model.Position{"a:b c": at(5), "d": at(1)}}
 	g.Expect(parsePeerRequest(q.query())).To(Equal(q))
 	for _, field := range []string{"after", "wait_ms", "link_mbps", "links", "held"} {
 		query := q.query()
--- a/plugins/replica/monitor.go
+++ b/plugins/replica/monitor.go
@@ -64,7 +64,7 @@
 	start := time.Now()
 	for clock.Sleep(ctx, monitorInterval) {
 		if r.Current() {
-			r.log.Emit(eventCurrent, event.Fields{"revision": r.Revision(), "stale_ms": time.Since(start).Milliseconds()})
+			r.log.Emit(eventCurrent, event.Fields{"revision": r.Position(), "stale_ms": time.Since(start).Milliseconds()})
 			return
 		}
 	}
@@ -75,7 +75,7 @@
 func (r *Replica) logStale(timerDelay time.Duration) {
 	r.mu.Lock()
 	fields := event.Fields{
-		"revision":       r.copy.revision,
+		"revision":       r.copy.position,
 		"age_ms":         time.Since(latest(r.fresh.confirmed, r.startedAt)).Milliseconds(),
 		"source":         r.call.source,
 		"call_ms":        time.Since(r.call.startedAt).Milliseconds(),
--- a/plugins/replica/pack.go
+++ b/plugins/replica/pack.go
@@ -29,7 +29,7 @@
 // outgoingItem is an item to be sent to a peer, possibly as a delta.
 type outgoingItem struct {
 	item model.Item
-	// base is the version that the peer holds; its revision is 0 if there is none.
+	// base is the version that the peer holds, in the same era; it is zero if there is none.
 	base model.Item
 	// unchanged is set if the peer holds this version of the item.
 	unchanged bool
@@ -38,13 +38,14 @@
 // packer compresses items. It caches its last result, since the followers of a reader
 // mostly need the same delta.
 type packer struct {
-	mu   sync.Mutex
-	last peerItem
+	mu      sync.Mutex
+	last    peerItem
+	lastEra uint64
 }
 
 // pack returns an item as it is sent to a peer.
 func (p *packer) pack(x outgoingItem) peerItem {
-	packed := peerItem{Key: x.item.Key, Revision: x.item.Revision, Removed: x.item.Removed, Data: x.item.Data}
+	packed := peerItem{Key: x.item.Key, Revision: x.item.Position.Revision, Removed: x.item.Removed, Data: x.item.Data}
 	if x.unchanged {
 		packed.Unchanged, packed.Data = true, nil
 		return packed
@@ -54,36 +55,38 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.last.Key == packed.Key && p.last.Revision == packed.Revision && p.last.BaseRevision == x.base.Revision {
+	if p.last.Key == packed.Key && p.lastEra == x.item.Position.Era && p.last.Revision == packed.Revision && p.last.BaseRevision == x.base.Position.Revision {
 		return p.last
 	}
 	data, err := zdelta.Compress(x.item.Data, x.base.Data)
 	if err != nil {
 		return packed // sent uncompressed
 	}
-	packed.Compressed, packed.BaseRevision, packed.Data = true, x.base.Revision, data
-	p.last = packed
+	packed.Compressed, packed.BaseRevision, packed.Data = true, x.base.Position.Revision, data
+	p.last, p.lastEra = packed, x.item.Position.Era
 	return packed
 }
 
-// unpack undoes pack. held returns the version that the node holds of an item.
-func unpack(packed peerItem, held func(key string) model.Item) (model.Item, error) {
-	item := model.Item{Key: packed.Key, Revision: packed.Revision, Removed: packed.Removed, Data: packed.Data}
+// unpack undoes pack for an item of a copy of an era. held returns the version that the node
+// holds of an item.
+func unpack(packed peerItem, era uint64, held func(key string) model.Item) (model.Item, error) {
+	position := model.Position{Era: era, Revision: packed.Revision}
+	item := model.Item{Key: packed.Key, Position: position, Removed: packed.Removed, Data: packed.Data}
 	if !packed.Compressed && !packed.Unchanged {
 		return item, nil
 	}
 	local := held(packed.Key)
-	if local.Revision >= packed.Revision {
+	if !local.Position.Before(position) {
 		return local, nil // another response brought it in the meantime
 	}
 	if packed.Unchanged {
-		return item, errors.Errorf("item %q at revision %d was sent as unchanged, but revision %d is held", packed.Key, packed.Revision, local.Revision)
+		return item, errors.Errorf("item %q at revision %d was sent as unchanged, but position %s is held", packed.Key, packed.Revision, local.Position)
 	}
 	var base model.Item
 	if packed.BaseRevision > 0 {
 		base = local
-		if base.Revision != packed.BaseRevision {
-			return item, errors.Errorf("item %q at revision %d is a delta from revision %d, but revision %d is held", packed.Key, packed.Revision, packed.BaseRevision, base.Revision)
+		if base.Position != (model.Position{Era: era, Revision: packed.BaseRevision}) {
+			return item, errors.Errorf("item %q at revision %d is a delta from revision %d, but position %s is held", packed.Key, packed.Revision, packed.BaseRevision, base.Position)
 		}
 	}
 	data, err := zdelta.Decompress(packed.Data, base.Data, maxItemBytes)
--- a/plugins/replica/pack_bench_test.go
+++ b/plugins/replica/pack_bench_test.go
@@ -25,8 +25,8 @@
 }
 
 func BenchmarkPack(b *testing.B) {
-	base := model.Item{Key: "doc", Revision: 1, Data: routesDocument("1000ms")}
-	next := model.Item{Key: "doc", Revision: 2, Data: routesDocument("900ms")}
+	base := model.Item{Key: "doc", Position: at(1), Data: routesDocument("1000ms")}
+	next := model.Item{Key: "doc", Position: at(2), Data: routesDocument("900ms")}
 	b.SetBytes(int64(len(next.Data)))
 	b.ReportAllocs()
 	size := 0
--- a/plugins/replica/peer.go
+++ b/plugins/replica/peer.go
@@ -13,6 +13,7 @@
 
 	"github.com/bronzemast/bronzemast/internal/httpget"
 	"github.com/bronzemast/bronzemast/internal/strictcbor"
+	"github.com/bronzemast/bronzemast/model"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -32,7 +33,8 @@
 	peerIdleTimeout = 10 * time.Second
 )
 
-// peerResponse is a node's copy, or the changes to it after a revision.
+// peerResponse is a node's copy, or the changes to it after a position. The era of all of its
+// revisions is sent in a header, which nodes that do not know eras ignore.
 type peerResponse struct {
 	_        struct{} `cbor:",toarray"`
 	Revision uint64
@@ -57,33 +59,52 @@
 	// Follows is the host whose copy the node watches, the zero address if it reads the
 	// store itself.
 	Follows netip.Addr
+
+	// era is the era of the copy.
+	era uint64
+}
+
+// position returns the position of the copy.
+func (p *peerResponse) position() model.Position {
+	return model.Position{Era: p.era, Revision: p.Revision}
+}
+
+// gap returns the gap of the copy.
+func (p *peerResponse) gap() gap {
+	if p.GapBefore == 0 {
+		return gap{}
+	}
+	return gap{after: model.Position{Era: p.era, Revision: p.GapAfter}, before: model.Position{Era: p.era, Revision: p.GapBefore}}
 }
 
 // peerRequest is a node's request for the changes to a peer's copy.
 type peerRequest struct {
-	// after is the node's revision, and wait how long the peer may wait for a later one
+	// after is the node's position, and wait how long the peer may wait for a later one
 	// before it responds.
-	after uint64
+	after model.Position
 	wait  time.Duration
+	// eraUnknown is set if the node does not know eras.
+	eraUnknown bool
 	// mbps is the rate of the node's own link in Mbit/s, 0 if it is not known, and links
 	// the digest of the link rates that it knows.
 	mbps  float64
 	links uint64
-	// held holds the revisions of the large items that the node has, by key. The peer may
+	// held holds the positions of the large items that the node has, by key. The peer may
 	// send these as deltas.
-	held map[string]uint64
+	held map[string]model.Position
 }
 
 // query encodes the request as a URL query.
 func (q peerRequest) query() url.Values {
 	query := url.Values{
-		"after":     {strconv.FormatUint(q.after, 10)},
+		"era":       {strconv.FormatUint(q.after.Era, 10)},
+		"after":     {strconv.FormatUint(q.after.Revision, 10)},
 		"wait_ms":   {strconv.FormatInt(q.wait.Milliseconds(), 10)},
 		"link_mbps": {strconv.FormatFloat(q.mbps, 'f', -1, 64)},
 		"links":     {strconv.FormatUint(q.links, 16)},
 	}
 	for _, key := range slices.Sorted(maps.Keys(q.held)) {
-		query.Add("held", strconv.FormatUint(q.held[key], 10)+heldSeparator+key)
+		query.Add("held", strconv.FormatUint(q.held[key].Revision, 10)+heldSeparator+key)
 	}
 	return query
 }
@@ -95,9 +116,15 @@
 func parsePeerRequest(query url.Values) (peerRequest, error) {
 	var q peerRequest
 	var err error
-	if q.after, err = strconv.ParseUint(query.Get("after"), 10, 64); err != nil {
+	if q.after.Revision, err = strconv.ParseUint(query.Get("after"), 10, 64); err != nil {
 		return q, errors.New("after is not a revision")
 	}
+	q.eraUnknown = !query.Has("era")
+	if !q.eraUnknown {
+		if q.after.Era, err = strconv.ParseUint(query.Get("era"), 10, 64); err != nil {
+			return q, errors.New("era is not a number")
+		}
+	}
 	ms, err := strconv.ParseInt(query.Get("wait_ms"), 10, 32)
 	if err != nil || ms < 0 {
 		return q, errors.New("wait_ms is not a time")
@@ -116,9 +143,9 @@
 			return q, errors.New("held is not a revision and a key")
 		}
 		if q.held == nil {
-			q.held = map[string]uint64{}
+			q.held = map[string]model.Position{}
 		}
-		q.held[key] = revision
+		q.held[key] = model.Position{Era: q.after.Era, Revision: revision}
 	}
 	return q, nil
 }
@@ -138,20 +165,34 @@
 	}}}
 }
 
-// watch returns the changes to a peer's copy after a revision, as soon as there are any
+// assumeEra sets the era of a request of a node that does not know eras.
+func (q *peerRequest) assumeEra(era uint64) {
+	if !q.eraUnknown {
+		return
+	}
+	q.after.Era = era
+	for key, position := range q.held {
+		q.held[key] = model.Position{Era: era, Revision: position.Revision}
+	}
+}
+
+// watch returns the changes to a peer's copy after a position, as soon as there are any
 // or after the wait of the request.
 func (c *peerClient) watch(ctx context.Context, peer string, q peerRequest) (*peerResponse, error) {
 	endpoint := &url.URL{Scheme: "http", Host: peer, Path: pathReplica, RawQuery: q.query().Encode()}
 	limits := httpget.Limits{HeaderTimeout: q.wait + peerHeaderSlack, BodyTimeout: peerBodyTimeout, MaxBodyBytes: maxPeerResponseBytes}
-	status, data, err := httpget.Get(ctx, c.http, endpoint, limits)
+	received, err := httpget.Get(ctx, c.http, endpoint, limits)
 	if err != nil {
 		return nil, err
 	}
-	if status != http.StatusOK {
-		return nil, errors.Errorf("peer responded with status %d %s", status, http.StatusText(status))
+	if received.Status != http.StatusOK {
+		return nil, errors.Errorf("peer responded with status %d %s", received.Status, http.StatusText(received.Status))
 	}
 	var response peerResponse
-	if err := peerDecoding.Unmarshal(data, &response); err != nil {
+	if response.era, err = model.ParseEra(received.Header); err != nil {
+		return nil, err
+	}
+	if err := peerDecoding.Unmarshal(received.Body, &response); err != nil {
 		return nil, errors.Wrap(err, "decode the peer's response")
 	}
 	return &response, nil
@@ -168,6 +209,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	q.assumeEra(r.Position().Era)
 	arrived := time.Now()
 	host, sameDomain := r.recordRequester(request, q)
 	r.waitForChange(request.Context(), host, q.after, q.wait)
@@ -184,11 +226,12 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	response.position().SetHeader(w.Header())
 	w.Header()["Content-Length"] = []string{strconv.Itoa(len(data))}
 	_, _ = w.Write(data) // the peer may have disconnected
 }
 
-// recordRequester records the revision and the link rate of the node that sent a request.
+// recordRequester records the position and the link rate of the node that sent a request.
 // It returns that node's host and whether it is in the own failure domain; link rates are
 // exchanged within one only.
 func (r *Replica) recordRequester(request *http.Request, q peerRequest) (host netip.Addr, sameDomain bool) {
@@ -197,7 +240,7 @@
 		return netip.Addr{}, false
 	}
 	host = requester.Addr().Unmap()
-	r.ObserveRevision(netip.AddrPortFrom(host, r.peerPort).String(), q.after)
+	r.ObservePosition(netip.AddrPortFrom(host, r.peerPort).String(), q.after)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, listed := range r.list.Load().Hosts {
@@ -219,16 +262,16 @@
 	return r.links.sorted()
 }
 
-// waitForChange blocks until the copy is newer than a revision or has been confirmed to be
+// waitForChange blocks until the copy is newer than a position or has been confirmed to be
 // up to date since the call, for at most wait, or until ctx ends or the node stops. It does
 // not block if the node follows the host that waits, which has to read the store then.
-func (r *Replica) waitForChange(ctx context.Context, host netip.Addr, after uint64, wait time.Duration) {
+func (r *Replica) waitForChange(ctx context.Context, host netip.Addr, after model.Position, wait time.Duration) {
 	start := time.Now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for !r.stopping.Load() {
 		r.mu.Lock()
-		updated := r.copy.revision > after || r.fresh.confirmed.After(start) || r.follows.IsValid() && r.follows == host
+		updated := r.copy.position.After(after) || r.fresh.confirmed.After(start) || r.follows.IsValid() && r.follows == host
 		updates := r.updated
 		r.mu.Unlock()
 		if updated {
@@ -268,21 +311,22 @@
 func (r *Replica) missingItems(q peerRequest, arrived time.Time) (*peerResponse, []outgoingItem) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.copy.revision == 0 {
+	if r.copy.position.IsZero() {
 		return nil, nil
 	}
 	now := time.Now()
 	response := &peerResponse{
-		Revision:          r.copy.revision,
+		era:               r.copy.position.Era,
+		Revision:          r.copy.position.Revision,
 		Age:               now.Sub(r.fresh.confirmed),
 		Held:              now.Sub(arrived),
-		GapAfter:          r.copy.gap.after,
-		GapBefore:         r.copy.gap.before,
+		GapAfter:          r.copy.gap.after.Revision,
+		GapBefore:         r.copy.gap.before.Revision,
 		SinceOutage:       r.outage.since(now),
 		SinceStoreFailure: r.sinceStoreFailure(now),
 		Follows:           r.follows,
 	}
-	if q.after >= r.copy.revision {
+	if !q.after.Before(r.copy.position) {
 		return response, nil
 	}
 	items, complete := r.copy.since(q.after)
@@ -290,7 +334,7 @@
 	outgoing := make([]outgoingItem, len(items))
 	for i, item := range items {
 		outgoing[i].item = item
-		outgoing[i].unchanged = q.after > 0 && item.Revision <= q.after && !item.Removed
+		outgoing[i].unchanged = q.after.Era == r.copy.position.Era && !item.Position.After(q.after) && !item.Removed
 		if base, ok := r.copy.base(item.Key, q.held[item.Key]); ok {
 			outgoing[i].base = base
 		}
--- a/plugins/replica/refresh.go
+++ b/plugins/replica/refresh.go
@@ -65,7 +65,7 @@
 }
 
 // newerPeerMinAge is the age of the copy, since it was last confirmed, from which changes
-// are fetched from a peer with a later revision. Before that they come from the reader,
+// are fetched from a peer with a later position. Before that they come from the reader,
 // which has them packed for all of its followers.
 const newerPeerMinAge = 1200 * time.Millisecond
 
@@ -73,15 +73,15 @@
 // peer is not called for each request that it sends.
 const newerPeerInterval = 100 * time.Millisecond
 
-// ObserveRevision implements model.Replica. It does not block.
-func (r *Replica) ObserveRevision(peer string, revision uint64) {
-	if revision <= r.Revision() {
+// ObservePosition implements model.Replica. It does not block.
+func (r *Replica) ObservePosition(peer string, position model.Position) {
+	if !position.After(r.Position()) {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	r.fresh.newestRevision = max(r.fresh.newestRevision, revision)
+	r.fresh.newestPosition = model.LatestPosition(r.fresh.newestPosition, position)
 	r.renewLease()
 	if r.newerPeer == "" && now.Sub(r.fresh.confirmed) >= newerPeerMinAge && now.Sub(r.newerPeerAt) >= newerPeerInterval {
 		r.newerPeer, r.newerPeerAt = peer, now
@@ -89,7 +89,7 @@
 	}
 }
 
-// fetchFromNewerPeer fetches changes from the peer that has a later revision.
+// fetchFromNewerPeer fetches changes from the peer that has a later position.
 func (r *Replica) fetchFromNewerPeer(ctx context.Context) {
 	r.mu.Lock()
 	peer := r.newerPeer
--- a/plugins/replica/settings.go
+++ b/plugins/replica/settings.go
@@ -24,6 +24,9 @@
 	// defaultReturnGrace is the time within which live targets renew their entries after an
 	// outage of the store.
 	defaultReturnGrace = 2500 * time.Millisecond
+	// defaultRestoreGrace is the time in which entries of targets that are gone lapse, and
+	// all others are written again.
+	defaultRestoreGrace = 6 * time.Second
 	// defaultStoreReadsPerSecond is the store's rate limit for the whole fleet.
 	defaultStoreReadsPerSecond = 2000
 )
@@ -47,6 +50,9 @@
 	// ReturnGrace is how long entries that lapsed during an outage of the store still
 	// count after its end.
 	ReturnGrace jsonc.Duration `json:"return_grace"`
+	// RestoreGrace is how long an entry that had been replaced or removed does not count
+	// when the store was restored from an older copy and shows it again.
+	RestoreGrace jsonc.Duration `json:"restore_grace"`
 	// StoreReadsPerSecond is the store's rate limit for the whole fleet.
 	StoreReadsPerSecond float64 `json:"store_reads_per_second"`
 	// LinkMbps is the rate of the host's link in Mbit/s, 0 if it is not known. The hosts
@@ -63,6 +69,7 @@
 		StaleAfter:          jsonc.Duration(defaultStaleAfter),
 		MaxStaleness:        jsonc.Duration(defaultMaxStaleness),
 		ReturnGrace:         jsonc.Duration(defaultReturnGrace),
+		RestoreGrace:        jsonc.Duration(defaultRestoreGrace),
 		StoreReadsPerSecond: defaultStoreReadsPerSecond,
 	}
 }
@@ -83,6 +90,7 @@
 		jsonc.Positive{Field: "stale_after", Value: float64(s.StaleAfter)},
 		jsonc.Positive{Field: "max_staleness", Value: float64(s.MaxStaleness)},
 		jsonc.Positive{Field: "return_grace", Value: float64(s.ReturnGrace)},
+		jsonc.Positive{Field: "restore_grace", Value: float64(s.RestoreGrace)},
 		jsonc.Positive{Field: "store_reads_per_second", Value: s.StoreReadsPerSecond},
 	)
 	doc.RequireNonNegative(findings, jsonc.NonNegative{Field: "link_mbps", Value: s.LinkMbps})
--- a/plugins/replica/setup.go
+++ b/plugins/replica/setup.go
@@ -49,7 +49,7 @@
 	table    atomic.Pointer[ingress.Table]
 	list     atomic.Pointer[model.TargetList]
 	lease    lease
-	revision atomic.Uint64
+	position atomic.Pointer[model.Position]
 	stopping atomic.Bool
 
 	mu          sync.Mutex
@@ -73,7 +73,7 @@
 	// peerFailedAt.
 	peerFailures int
 	peerFailedAt time.Time
-	// newerPeer is the address of a peer with a later revision from which changes are being
+	// newerPeer is the address of a peer with a later position from which changes are being
 	// fetched, empty if there is none. The last such fetch started at newerPeerAt.
 	newerPeer   string
 	newerPeerAt time.Time
@@ -89,7 +89,8 @@
 		links:    newLinks(),
 		updated:  make(chan struct{}),
 	}
-	r.list.Store(r.targets.list(0))
+	r.position.Store(&model.Position{})
+	r.list.Store(r.targets.list(model.Position{}))
 	r.startedAt = time.Now()
 	r.lease.origin = r.startedAt
 	return r
@@ -101,7 +102,8 @@
 	r.log = ctx.Log()
 	r.startTask = ctx.Go
 	r.metrics = newMetrics(ctx.Metrics())
-	ctx.Metrics().Set("revision", expvar.Func(func() any { return r.Revision() }))
+	ctx.Metrics().Set("revision", expvar.Func(func() any { return r.Position().Revision }))
+	ctx.Metrics().Set("era", expvar.Func(func() any { return r.Position().Era }))
 	ctx.Metrics().Set("copy_age_ms", expvar.Func(func() any { return r.age().Milliseconds() }))
 	transport, err := kernel.Lookup[model.Transport](ctx)
 	if err != nil {
@@ -177,8 +179,8 @@
 // Targets implements model.Replica.
 func (r *Replica) Targets() *model.TargetList { return r.list.Load() }
 
-// Revision implements model.Replica.
-func (r *Replica) Revision() uint64 { return r.revision.Load() }
+// Position implements model.Replica.
+func (r *Replica) Position() model.Position { return *r.position.Load() }
 
 // Subscribe implements model.Replica.
 func (r *Replica) Subscribe(f func(*model.TargetList)) {
--- a/plugins/replica/store.go
+++ b/plugins/replica/store.go
@@ -12,7 +12,7 @@
 )
 
 // readStore watches the store, or lists it if the copy is empty or the history after its
-// revision was compacted. If the store fails, it fetches changes from another node, since
+// position is not available. If the store fails, it fetches changes from another node, since
 // the store may be unreachable from this one only. It reports whether the store responded.
 func (r *Replica) readStore(ctx context.Context, s *sourceState) bool {
 	r.startCall(viaStore)
@@ -36,17 +36,17 @@
 }
 
 func (r *Replica) watchStore(ctx context.Context) error {
-	revision := r.Revision()
-	if revision == 0 {
+	position := r.Position()
+	if position.IsZero() {
 		return r.firstList(ctx)
 	}
 	start := time.Now()
 	wait := r.settings.StoreWait.Std()
-	items, upTo, err := r.store.Watch(ctx, revision, wait)
+	items, upTo, err := r.store.Watch(ctx, position, wait)
 	if err != nil {
 		return err
 	}
-	r.apply(update{items: items, revision: upTo, confirmed: watchConfirmed(start, time.Now(), wait, len(items)), via: viaStore})
+	r.apply(update{items: items, position: upTo, confirmed: watchConfirmed(start, time.Now(), wait, len(items)), via: viaStore})
 	return nil
 }
 
@@ -72,14 +72,14 @@
 
 func (r *Replica) listStore(ctx context.Context, stale bool) error {
 	start := time.Now()
-	items, revision, err := r.store.List(ctx, stale)
+	items, position, err := r.store.List(ctx, stale)
 	if err != nil {
 		return err
 	}
-	if revision < r.Revision() {
-		return errors.Errorf("store returned a list of revision %d, older than the copy's revision %d", revision, r.Revision())
+	if position.Before(r.Position()) {
+		return errors.Errorf("store returned a list of position %s, older than the copy's position %s", position, r.Position())
 	}
-	r.apply(update{items: items, revision: revision, complete: true, stale: stale, confirmed: start, via: viaStore})
+	r.apply(update{items: items, position: position, complete: true, stale: stale, confirmed: start, via: viaStore})
 	return nil
 }
 
@@ -89,7 +89,7 @@
 	r.mu.Unlock()
 	r.metrics.storeCalls.Add(1)
 	if failures > 0 {
-		r.log.Emit(eventStoreBack, event.Fields{"revision": r.Revision(), "failures": failures})
+		r.log.Emit(eventStoreBack, event.Fields{"revision": r.Position(), "failures": failures})
 	}
 }
 
@@ -107,7 +107,7 @@
 	r.metrics.storeCalls.Add(1)
 	r.metrics.storeFailures.Add(1)
 	if failures == 1 {
-		r.log.Emit(eventStoreLost, event.Fields{"revision": r.Revision(), "error": err.Error()})
+		r.log.Emit(eventStoreLost, event.Fields{"revision": r.Position(), "error": err.Error()})
 	}
 	return retryPause(failures-1, hosts, r.settings.StoreReadsPerSecond, rand.Float64())
 }
--- a/plugins/sidecar/body.go
+++ b/plugins/sidecar/body.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
 )
 
@@ -153,5 +154,6 @@
 	delete(kept, headerHandover)
 	delete(kept, headerResult)
 	delete(kept, headerTargetState)
+	delete(kept, model.HeaderEra)
 	return kept
 }
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -79,7 +79,7 @@
 	c, reply := e.accept(r)
 	if reply != nil {
 		status := e.writeLocalReply(w, reply)
-		e.tracer.rejected(r, reply, status, e.configuration(), e.replica.Revision())
+		e.tracer.rejected(r, reply, status, e.configuration(), e.replica.Position())
 		return
 	}
 	defer c.body.close()
@@ -90,7 +90,7 @@
 	if r.Context().Err() != nil {
 		e.metrics.canceled.Add(1)
 		a.Outcome, a.Reason = model.OutcomeUnknown, model.ReasonCanceled
-		e.tracer.request(c, a, 0, 0, e.replica.Revision())
+		e.tracer.request(c, a, 0, 0, e.replica.Position())
 		panic(http.ErrAbortHandler) // the caller has disconnected
 	}
 	e.writeAnswer(w, c, a)
@@ -231,9 +231,9 @@
 		Objective:          c.route.Objective,
 		Rank:               c.route.Rank,
 		MaxQueueWait:       chosen.maxQueueWait,
-		Revision:           e.replica.Revision(),
 		known:              e.stats.known(t),
 	}
+	h.setPosition(e.replica.Position())
 	e.stats.attemptStarted(t, start)
 	a := e.sender.send(ctx, t, h, c, chosen.candidate.ExpectedLatency())
 	now := time.Now()
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -57,9 +57,12 @@
 	// MaxQueueWait is the longest expected wait for a slot. A request that is expected to
 	// wait longer is rejected, so that it can go to another target.
 	MaxQueueWait time.Duration
-	// Revision is the store revision that the sender has.
+	// Revision is the revision of the store that the sender has. Its era is sent in a header.
 	Revision uint64
 
+	// era is the era of Revision, and eraKnown set if the sender knows eras.
+	era      uint64
+	eraKnown bool
 	// known is what the sender knows of the target's announcements. It is sent in
 	// headerTargetState.
 	known targetState
@@ -91,10 +94,38 @@
 	Load     load
 	Revision uint64
 
+	// era is the era of Revision.
+	era uint64
 	// announced is what the target has announced. It is sent in headerTargetState.
 	announced targetState
 }
 
+// position returns the position of the store that the sender has, 0 for the era if the sender
+// does not know eras.
+func (h *handover) position() model.Position {
+	return model.Position{Era: h.era, Revision: h.Revision}
+}
+
+// setPosition sets the position of the store that the node has.
+func (h *handover) setPosition(p model.Position) {
+	h.Revision, h.era, h.eraKnown = p.Revision, p.Era, true
+}
+
+// includedIn reports whether a node at a position knows all that the sender does. A sender
+// that does not know eras is taken to be in the same one.
+func (h *handover) includedIn(p model.Position) bool {
+	known := h.position()
+	if !h.eraKnown {
+		known.Era = p.Era
+	}
+	return !p.Before(known)
+}
+
+// position returns the position of the store that the node beside the target has.
+func (r *result) position() model.Position {
+	return model.Position{Era: r.era, Revision: r.Revision}
+}
+
 // targetState is what a target has announced about itself. Nodes ignore fields that they do
 // not know, so that later versions can add some.
 type targetState struct {
@@ -173,6 +204,10 @@
 	if h.known, err = decodeTargetState(header); err != nil {
 		return nil, err
 	}
+	_, h.eraKnown = header[model.HeaderEra]
+	if h.era, err = model.ParseEra(header); err != nil {
+		return nil, err
+	}
 	return &h, nil
 }
 
@@ -188,5 +223,8 @@
 	if r.announced, err = decodeTargetState(header); err != nil {
 		return nil, err
 	}
+	if r.era, err = model.ParseEra(header); err != nil {
+		return nil, err
+	}
 	return &r, nil
 }
--- a/plugins/sidecar/response.go
+++ b/plugins/sidecar/response.go
@@ -18,10 +18,10 @@
 		a.Reason = e.finalReason(c, a)
 		reply := &model.LocalReply{ID: c.id, Outcome: a.Outcome, Reason: a.Reason, RetryAfter: e.retryAfter(c, a)}
 		status := e.writeLocalReply(w, reply)
-		e.tracer.request(c, a, status, reply.RetryAfter, e.replica.Revision())
+		e.tracer.request(c, a, status, reply.RetryAfter, e.replica.Position())
 		return
 	}
-	e.tracer.request(c, a, a.status, 0, e.replica.Revision())
+	e.tracer.request(c, a, a.status, 0, e.replica.Position())
 	header := w.Header()
 	for name, values := range forwardedHeaders(a.header) {
 		header[name] = values
--- a/plugins/sidecar/sender.go
+++ b/plugins/sidecar/sender.go
@@ -56,6 +56,7 @@
 	header := c.header.Clone()
 	header[headerHandover] = []string{cborheader.Encode(h)}
 	h.known.set(header)
+	h.position().SetHeader(header)
 	ctx, cancelDeadline := context.WithTimeout(ctx, h.Remaining)
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	cancel := func() {
@@ -165,7 +166,7 @@
 	if body.buffered() {
 		_ = response.Body.Close() // the body has been read completely
 	}
-	s.replica.ObserveRevision(peer, reported.Revision)
+	s.replica.ObservePosition(peer, reported.position())
 	a := &answer{result: *reported, body: body}
 	if reported.Outcome == model.OutcomeRan {
 		a.status = response.StatusCode
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -71,7 +71,7 @@
 	a := s.admit(ctx, h, adm, header, body)
 	a.Nested = adm.nested
 	a.TimeAtNode = time.Since(start)
-	s.tracer.targetSide(h, adm, a, s.replica.Revision())
+	s.tracer.targetSide(h, adm, a, s.replica.Position())
 	return a
 }
 
@@ -247,7 +247,7 @@
 		s.departures.learn(t, h.known, time.Now())
 		return t.Leaving || s.departures.includes(t)
 	}
-	return s.departures.includesID(h.Instance) || s.replica.Revision() >= h.Revision
+	return s.departures.includesID(h.Instance) || h.includedIn(s.replica.Position())
 }
 
 // retain drops the instances that are not in the list, except those that named a limit
@@ -278,7 +278,7 @@
 	}
 	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
 		h.sender = parseHost(host)
-		s.replica.ObserveRevision(net.JoinHostPort(host, s.peerPort), h.Revision)
+		s.replica.ObservePosition(net.JoinHostPort(host, s.peerPort), h.position())
 	}
 	body, err := readBody(r.Body, r.ContentLength, 0)
 	if err != nil {
@@ -287,13 +287,15 @@
 	a := s.handle(r.Context(), h, forwardedHeaders(r.Header), body)
 	defer a.close()
 	a.Version = handoverVersion
-	a.Revision = s.replica.Revision()
+	position := s.replica.Position()
+	a.Revision = position.Revision
 	header := w.Header()
 	for name, values := range forwardedHeaders(a.header) {
 		header[name] = values
 	}
 	header[headerResult] = []string{cborheader.Encode(&a.result)}
 	a.announced.set(header)
+	position.SetHeader(header)
 	if a.status == 0 {
 		a.status = http.StatusServiceUnavailable
 	}
--- a/plugins/sidecar/trace.go
+++ b/plugins/sidecar/trace.go
@@ -87,7 +87,7 @@
 }
 
 // request logs a caller's request and its attempts.
-func (t *tracer) request(c *call, a *answer, status int, retryAfter time.Duration, revision uint64) {
+func (t *tracer) request(c *call, a *answer, status int, retryAfter time.Duration, position model.Position) {
 	took := time.Since(c.receivedAt)
 	notable := a.Outcome != model.OutcomeRan || a.Failed || c.targetsReached > 1 || took > slowFactor*c.route.Objective
 	if !shouldLog(c.id, notable) {
@@ -98,7 +98,7 @@
 		"route":          c.route.Name,
 		"service":        c.service,
 		"configuration":  c.configuration,
-		"revision":       revision,
+		"revision":       position,
 		"hops":           c.hops,
 		"targets":        c.targetsReached,
 		"outcome":        a.Outcome.String(),
@@ -112,14 +112,14 @@
 }
 
 // rejected logs a request that was rejected before a target was selected.
-func (t *tracer) rejected(r *http.Request, reply *model.LocalReply, status int, configuration, revision uint64) {
+func (t *tracer) rejected(r *http.Request, reply *model.LocalReply, status int, configuration uint64, position model.Position) {
 	_, path := requestTarget(r)
 	t.emit([]logLine{{event: eventRejected, fields: event.Fields{
 		"request":        reply.ID,
 		"authority":      r.Host,
 		"path":           path,
 		"configuration":  configuration,
-		"revision":       revision,
+		"revision":       position,
 		"reason":         reply.Reason,
 		"status":         status,
 		"retry_after_ms": reply.RetryAfter.Milliseconds(),
@@ -127,7 +127,7 @@
 }
 
 // targetSide logs a request at the target side.
-func (t *tracer) targetSide(h *handover, adm *admission, a *answer, revision uint64) {
+func (t *tracer) targetSide(h *handover, adm *admission, a *answer, position model.Position) {
 	notable := a.Outcome != model.OutcomeRan || a.Failed || a.TimeAtNode > slowFactor*h.Objective
 	if !shouldLog(h.ID, notable) {
 		return
@@ -151,7 +151,7 @@
 		"outcome":         a.Outcome.String(),
 		"reason":          a.Reason,
 		"status":          a.status,
-		"revision":        revision,
-		"sender_revision": h.Revision,
+		"revision":        position,
+		"sender_revision": h.position(),
 	}}}, notable)
 }
--- a/plugins/sidecar/trace_test.go
+++ b/plugins/sidecar/trace_test.go
@@ -40,7 +40,7 @@
 	var out strings.Builder
 	tr := newTestTracer(&out, 20)
 	for range 1000 {
-		tr.request(tracedCall("lost"), failedAnswer(), 502, 0, 1)
+		tr.request(tracedCall("lost"), failedAnswer(), 502, 0, model.Position{Revision: 1})
 	}
 	lines := strings.Count(out.String(), "\n")
 	g.Expect(lines).To(And(BeNumerically(">=", 10), BeNumerically("<=", 40)))
@@ -54,9 +54,9 @@
 	tr := newTestTracer(&out, 20)
 	good := &answer{status: 200, result: result{Outcome: model.OutcomeRan, ReachedTarget: true}}
 	for i := range 20 * sampleEvery {
-		tr.request(tracedCall(strings.Repeat("x", i%97)), good, 200, 0, 1)
+		tr.request(tracedCall(strings.Repeat("x", i%97)), good, 200, 0, model.Position{Revision: 1})
 	}
-	tr.request(tracedCall("lost"), failedAnswer(), 502, 0, 1)
+	tr.request(tracedCall("lost"), failedAnswer(), 502, 0, model.Position{Revision: 1})
 	g.Expect(out.String()).To(ContainSubstring(`"request":"lost"`))
 }
 
@@ -79,6 +79,6 @@
 	tr := newTestTracer(io.Discard, 1e12)
 	b.ReportAllocs()
 	for b.Loop() {
-		tr.request(tracedCall("lost"), failedAnswer(), 502, 0, 1)
+		tr.request(tracedCall("lost"), failedAnswer(), 502, 0, model.Position{Revision: 1})
 	}
 }
