--- /dev/null
+++ b/internal/httpconn/headlimit.go
@@ -0,0 +1,40 @@
+package httpconn
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// maxHeadBytes bounds the head of a response, together with the interim responses before it.
+const maxHeadBytes = 64 << 10
+
+// ErrHeadTooLong is returned when the head of a response exceeds maxHeadBytes.
+var ErrHeadTooLong = errors.New("the head of the response is too long")
+
+// headLimiter is a reader that bounds what is read while a head is read. Bytes of a body that
+// are buffered along with its head count as well, up to the size of the buffer.
+type headLimiter struct {
+	io.Reader
+	limited   bool
+	remaining int
+}
+
+// begin starts to bound what is read.
+func (l *headLimiter) begin() { l.limited, l.remaining = true, maxHeadBytes+bufferBytes }
+
+// end removes the bound.
+func (l *headLimiter) end() { l.limited = false }
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Reader.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -38,6 +39,8 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// headLimit bounds what reader reads of a head.
+	headLimit *headLimiter
 	// idleSince is the time at which the last exchange ended, which is also the last
 	// time at which the server was known to respond on this connection.
 	idleSince time.Time
@@ -75,13 +78,31 @@
 	if err != nil {
 		return nil, err
 	}
+	limit := &headLimiter{Reader: raw}
 	return &conn{
-		Conn:   raw,
-		reader: bufio.NewReaderSize(raw, bufferBytes),
-		writer: bufio.NewWriterSize(raw, bufferBytes),
+		Conn:      raw,
+		reader:    bufio.NewReaderSize(limit, bufferBytes),
+		writer:    bufio.NewWriterSize(raw, bufferBytes),
+		headLimit: limit,
 	}, nil
 }
 
+// readFinal returns the next final response; it discards interim (1xx) responses. method is
+// that of the request.
+func (c *conn) readFinal(method string) (*http.Response, error) {
+	c.headLimit.begin()
+	defer c.headLimit.end()
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
 // Connect opens a connection and adds it to the idle connections.
 func (p *Pool) Connect(ctx context.Context) error {
 	c, err := p.connect(ctx)
--- a/internal/httpconn/probe.go
+++ b/internal/httpconn/probe.go
@@ -50,7 +50,7 @@
 	if err := c.writer.Flush(); err != nil {
 		return false
 	}
-	response, err := http.ReadResponse(c.reader, nil)
+	response, err := c.readFinal(http.MethodGet)
 	if err != nil {
 		return false
 	}
--- a/internal/httpconn/roundtrip.go
+++ b/internal/httpconn/roundtrip.go
@@ -162,7 +162,7 @@
 // readResponse returns the response that belongs to the request, with its body unread.
 func (e *exchange) readResponse() (*http.Response, error) {
 	for range maxDiscarded + 1 {
-		response, err := e.readFinal()
+		response, err := e.conn.readFinal(e.request.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -170,27 +170,15 @@
 			return response, nil
 		}
 		e.discarded = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBodyBytes)); err != nil {
-			return nil, err
-		}
-		if response.Close {
-			break
-		}
-	}
-	return nil, ErrUnanswered
-}
-
-// readFinal returns the next final response; it discards interim (1xx) responses.
-func (e *exchange) readFinal() (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: e.request.Method})
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBodyBytes))
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if response.Close || n == maxDiscardedBodyBytes {
+			break // what follows is not known to be a response
 		}
 	}
+	return nil, ErrUnanswered
 }
 
 // reusable reports whether the request was written completely, no response to another
