--- a/internal/httpget/httpget.go
+++ b/internal/httpget/httpget.go
@@ -20,6 +20,18 @@
 	}
 }
 
+// maxHeaderBytes bounds the header of a response, interim responses included.
+const maxHeaderBytes = 64 << 10
+
+// NewTransport returns a transport for Get, whose connections are opened by dial.
+func NewTransport(dial DialFunc) *http.Transport {
+	return &http.Transport{
+		DialContext:            dial.DialContext(),
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
+
 // Limits bounds a response.
 type Limits struct {
 	// HeaderTimeout is measured from the start of Get, and BodyTimeout from the end of
--- a/plugins/replica/peer.go
+++ b/plugins/replica/peer.go
@@ -27,8 +27,9 @@
 	// response must begin, peerBodyTimeout the time to read its body on a slow link.
 	peerHeaderSlack = 700 * time.Millisecond
 	peerBodyTimeout = 5 * time.Second
-	// maxPeerResponseBytes bounds the body of a response.
-	maxPeerResponseBytes = 64 << 20
+	// maxPeerResponseBytes bounds the body of a response: the largest configuration and the
+	// entries of 2,000 targets, with room to spare.
+	maxPeerResponseBytes = 8 << 20
 	// peerIdleTimeout is how long an idle connection to a peer is kept.
 	peerIdleTimeout = 10 * time.Second
 )
@@ -158,11 +159,9 @@
 }
 
 func newPeerClient(dial httpget.DialFunc) *peerClient {
-	return &peerClient{http: &http.Client{Transport: &http.Transport{
-		DialContext:        dial.DialContext(),
-		IdleConnTimeout:    peerIdleTimeout,
-		DisableCompression: true,
-	}}}
+	transport := httpget.NewTransport(dial)
+	transport.IdleConnTimeout = peerIdleTimeout
+	return &peerClient{http: &http.Client{Transport: transport}}
 }
 
 // assumeEra sets the era of a request of a node that does not know eras.
