The test of a full log pipe waits for what it needs instead of for a time

It failed beside load: 143 of 240 runs with the race detector, 16 at once. Traced: the last line was missing, since it was written 50 ms after a reader had come, while the buffer was still full, or since the pipe's file was closed 200 ms after Close, while the lines were still being written. The pipe drops a line when its buffer is full and bounds the time of Close, as documented; the test took the time for granted. It now waits until the buffer has been written and until the last line has been read, and checks besides that Close does not wait for a reader.

--- a/internal/logpipe/logpipe_test.go
+++ b/internal/logpipe/logpipe_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,16 +34,58 @@
 		_, _ = p.Write(line)
 	}
 	g.Expect(time.Since(startTime)).To(BeNumerically("<", 5*time.Second), "without a reader")
-	read := make(chan string)
+	var received lockedBuffer
+	read := make(chan struct{})
 	go func() {
-		data, _ := io.ReadAll(reader) // the data read so far is checked
-		read <- string(data)
+		defer close(read)
+		_, _ = io.Copy(&received, reader) // ends when the writer is closed
 	}()
-	time.Sleep(50 * time.Millisecond)
+	g.Eventually(p.bufferedBytes, 10*time.Second).Should(BeZero(), "the lines are written once there is a reader")
 	_, _ = p.Write([]byte("last\n"))
 	p.Close()
+	g.Eventually(received.String, 10*time.Second).Should(HaveSuffix("last\n"))
 	g.Expect(writer.Close()).To(Succeed())
-	g.Expect(<-read).To(And(ContainSubstring("log lines dropped"), ContainSubstring("last\n")))
+	<-read
+	g.Expect(received.String()).To(ContainSubstring("log lines dropped"))
+}
+
+func TestCloseDoesNotWaitForAReader(t *testing.T) {
+	g := NewWithT(t)
+	reader, writer, err := os.Pipe()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = reader.Close() }() // nothing depends on the result
+	p := New(writer)
+	_, _ = p.Write(make([]byte, maxBufferedBytes))
+	startTime := time.Now()
+	p.Close()
+	g.Expect(time.Since(startTime)).To(BeNumerically("<", 5*time.Second))
+}
+
+// lockedBuffer is a buffer that is safe for concurrent use.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+// String returns what was written.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// bufferedBytes returns the size of the lines that wait to be written.
+func (p *Pipe) bufferedBytes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.buffer)
 }
 
 func TestNothingIsWrittenAfterClose(t *testing.T) {
