--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -171,6 +171,77 @@
 	}
 }
 
+const (
+	// limitWindow is the window in which the requests to a limited worker count, and
+	// limitSettling the time from the first naming of a limit until it must be kept.
+	limitWindow   = 4 * time.Second
+	limitSettling = 3 * time.Second
+)
+
+// checkLimits checks that no worker got more than one and a half times the limit that it
+// named, plus five requests, in any window, whatever faults there were.
+func (r *recorder) checkLimits(c *invariant.Checker) {
+	allowed := int(1.5*workerLimitRate*limitWindow.Seconds()) + 5
+	for _, l := range r.limits {
+		arrivals := arrivalsBetween(l.worker, l.from.Add(limitSettling), l.to)
+		first := 0
+		for last, at := range arrivals {
+			for at.Sub(arrivals[first]) > limitWindow {
+				first++
+			}
+			if n := last - first + 1; n > allowed {
+				c.Violated(invariant.WithinTargetLimit, "worker %s got %d requests within %s, %d are allowed", l.worker.ID, n, limitWindow, allowed)
+				break
+			}
+		}
+	}
+}
+
+// arrivalsBetween returns the times between two times at which requests arrived at a worker.
+func arrivalsBetween(w *standin.Worker, from, to time.Time) []time.Time {
+	var arrivals []time.Time
+	for _, at := range w.Arrivals() {
+		if at.After(from) && at.Before(to) {
+			arrivals = append(arrivals, at)
+		}
+	}
+	return arrivals
+}
+
+// checkLeavings checks that a node that has passed on an answer by which a worker leaves sends
+// it no request that its caller sent later than drainBound after that, whatever faults there
+// were. A restart of the node excuses it, and so does a pause.
+func (r *recorder) checkLeavings(c *invariant.Checker) {
+	type process struct {
+		host, incarnation int
+		worker            string
+	}
+	heardAt := map[process]time.Time{}
+	requests := make(map[string]*request, len(r.requests))
+	for i := range r.requests {
+		q := &r.requests[i]
+		requests[q.reply.ID] = q
+		worker, signed := strings.CutPrefix(q.reply.Header.Get("X-Response-Signature"), "signed-by-")
+		if q.reply.Header.Get("Server-Leaving") == "" || !signed {
+			continue
+		}
+		p := process{q.host, q.incarnation, worker}
+		if at, heard := heardAt[p]; !heard || q.ended.Before(at) {
+			heardAt[p] = q.ended
+		}
+	}
+	for _, run := range r.runs {
+		q := requests[run.ID]
+		if q == nil {
+			continue
+		}
+		at, heard := heardAt[process{q.host, q.incarnation, run.Worker}]
+		if since := q.sent.Sub(at); heard && since > drainBound && r.freeOf(kindPause, at, q.sent) {
+			c.Violated(invariant.NoWorkWhileLeaving, "host %d sent request %s to worker %s %s after it had heard that it leaves", q.host, run.ID, run.Worker, since)
+		}
+	}
+}
+
 // checkWorkers checks that no worker ran more requests at once than it has slots.
 func (r *recorder) checkWorkers() {
 	for _, w := range r.workers {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/bronzemast/bronzemast/internal/clock"
@@ -22,6 +23,12 @@
 	deadEntryTTL = 3 * time.Second
 	// drainOverrun is the time by which a draining worker outlives drainBound.
 	drainOverrun = time.Second
+	// restoreAway is the time for which a store is away that comes back from an older copy,
+	// maxRewriteDelay the longest time until what it has lost is written again.
+	restoreAway     = 500 * time.Millisecond
+	maxRewriteDelay = time.Second
+	// workerLimitRate is the limit that a worker names, in requests per second.
+	workerLimitRate = 2
 	// stormInterval is the time between two configurations of a storm, stormVersions
 	// their number.
 	stormInterval = 150 * time.Millisecond
@@ -44,9 +51,9 @@
 		_ = h.Hangup() // the process may have ended
 	case kindCut, kindSilence, kindSilenceOpen, kindDelay, kindStoreCut:
 		r.actOnLink(ctx, e, h)
-	case kindStoreFault, kindStoreSlow, kindStoreCompact:
+	case kindStoreFault, kindStoreSlow, kindStoreCompact, kindStoreRestore:
 		r.actOnStore(ctx, e)
-	case kindWorkerCrash, kindWorkerFails, kindReplace:
+	case kindWorkerCrash, kindWorkerFails, kindReplace, kindWorkerLimit:
 		r.actOnWorker(ctx, e, h)
 	case kindConfigure, kindStorm, kindMistake:
 		r.actOnConfiguration(ctx, e)
@@ -148,6 +155,8 @@
 	switch e.kind {
 	case kindStoreCompact:
 		r.fleet.Store.Compact()
+	case kindStoreRestore:
+		r.restoreStore(ctx, e)
 	case kindStoreSlow:
 		r.fleet.Store.SetDelay(storeDelay)
 		_ = clock.Sleep(ctx, e.duration)
@@ -159,6 +168,17 @@
 	}
 }
 
+// restoreStore lets the store lose its last changes, which are written again after a while. The
+// variant determines how many are lost.
+func (r *runner) restoreStore(ctx context.Context, e event) {
+	r.fleet.Store.SetFault(standin.Unavailable)
+	_ = clock.Sleep(ctx, restoreAway)
+	rewrite := r.fleet.Store.Restore(r.fleet.Store.Revision() - min(uint64(2*e.variant), r.fleet.Store.Revision()-1))
+	r.fleet.Store.SetFault(standin.NoFault)
+	_ = clock.Sleep(ctx, min(e.duration, maxRewriteDelay))
+	rewrite()
+}
+
 func (r *runner) actOnWorker(ctx context.Context, e event, h *host) {
 	if !h.workerMu.TryLock() {
 		return
@@ -178,8 +198,12 @@
 		} else {
 			defer h.Withdraw(worker) // the new worker starts before the old entry is removed
 		}
+	case kindWorkerLimit:
+		r.limitWorker(ctx, e, worker)
+		return
 	case kindReplace:
-		h.Publish("draining")
+		worker.Leave()
+		h.PublishAgain("draining")
 		r.recorder.addDrain(worker.ID, time.Now())
 		_ = clock.Sleep(ctx, drainBound+drainOverrun)
 		h.Withdraw(worker)
@@ -190,6 +214,15 @@
 	}
 }
 
+// limitWorker makes a worker name a limit for long enough that it must be kept.
+func (r *runner) limitWorker(ctx context.Context, e event, worker *standin.Worker) {
+	worker.SetLimit(strconv.Itoa(workerLimitRate))
+	from := time.Now()
+	_ = clock.Sleep(ctx, limitSettling+limitWindow+e.duration)
+	worker.SetLimit("")
+	r.recorder.addLimit(workerLimit{worker: worker, from: from, to: time.Now()})
+}
+
 func (r *runner) actOnConfiguration(ctx context.Context, e event) {
 	r.recorder.beginEvent(e.kind)
 	switch e.kind {
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -30,6 +30,12 @@
 	at     time.Time
 }
 
+// workerLimit is the time in which a worker named a limit on its requests.
+type workerLimit struct {
+	worker   *standin.Worker
+	from, to time.Time
+}
+
 // publication is a configuration with the time of its publication.
 type publication struct {
 	number int
@@ -45,6 +51,7 @@
 	workers  []*standin.Worker
 	faults   []*faultInterval
 	drains   []workerDrain
+	limits   []workerLimit
 	configs  []publication
 	events   map[eventKind]int
 	// problems are the faults found that no promise covers.
@@ -77,6 +84,12 @@
 	r.drains = append(r.drains, workerDrain{worker: worker, at: at})
 }
 
+func (r *recorder) addLimit(l workerLimit) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limits = append(r.limits, l)
+}
+
 func (r *recorder) addConfig(number int, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -95,7 +108,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.events[k]++
-	if k >= plannedBoundary {
+	if !k.isFault() {
 		return func() {}
 	}
 	f := &faultInterval{kind: k, from: time.Now()}
@@ -129,6 +142,17 @@
 	return true
 }
 
+// freeOf reports whether no fault of a kind was active between two times, nor in the stability
+// window before them. The caller holds mu, or the run is over.
+func (r *recorder) freeOf(kind eventKind, from, to time.Time) bool {
+	for _, f := range r.faults {
+		if f.kind == kind && f.overlaps(from, to, stabilityWindow) {
+			return false
+		}
+	}
+	return true
+}
+
 // overlaps reports whether a fault was active between two times or in the window before them.
 func (f *faultInterval) overlaps(from, to time.Time, window time.Duration) bool {
 	return f.from.Before(to) && (f.to.IsZero() || f.to.Add(window).After(from))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -139,6 +139,8 @@
 	rec.checkRequests(c, r.hosts)
 	rec.checkVersions(c)
 	rec.checkDrains(c)
+	rec.checkLimits(c)
+	rec.checkLeavings(c)
 	rec.checkWorkers()
 	result := &Result{
 		Seed:            r.options.Seed,
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -53,14 +53,26 @@
 	// kindReplace drains a worker and replaces it.
 	kindReplace
 	kindCount
+	// kindStoreRestore lets the store come back from an older copy after a moment; what it
+	// has lost is written again.
+	kindStoreRestore
+	// kindWorkerLimit makes a worker name a limit on its requests.
+	kindWorkerLimit
 )
 
-var kindNames = [kindCount]string{
+// laterKinds are the faults that are scheduled by a random sequence of their own, so that
+// the other events of a seed stay as they were.
+var laterKinds = []eventKind{kindStoreRestore, kindWorkerLimit}
+
+// isFault reports whether events of the kind are faults and not planned work.
+func (k eventKind) isFault() bool { return k < plannedBoundary || k > kindCount }
+
+var kindNames = map[eventKind]string{
 	kindKill: "kill", kindHerdKill: "herd-kill", kindPause: "pause", kindCut: "cut", kindSilence: "silence",
 	kindSilenceOpen: "silence-open", kindDelay: "delay", kindStoreFault: "store-fault", kindStoreSlow: "store-slow",
 	kindStoreCompact: "store-compact", kindStoreCut: "store-cut", kindWorkerCrash: "worker-crash", kindWorkerFails: "worker-fails",
 	kindStop: "stop", kindHangup: "hangup", kindConfigure: "configure", kindStorm: "storm", kindMistake: "mistake",
-	kindReplace: "replace",
+	kindReplace: "replace", kindStoreRestore: "store-restore", kindWorkerLimit: "worker-limit",
 }
 
 // String returns the name of the kind.
@@ -69,7 +81,7 @@
 // concernsStore reports whether a fault of the kind keeps all nodes from reading the store,
 // or delays what they read.
 func (k eventKind) concernsStore() bool {
-	return k == kindStoreFault || k == kindStoreSlow || k == kindStoreCompact
+	return k == kindStoreFault || k == kindStoreSlow || k == kindStoreCompact || k == kindStoreRestore
 }
 
 // event is a fault or a piece of planned work that is injected into the fleet.
@@ -120,10 +132,36 @@
 			e.host = (e.host + random.IntN(2)) % o.Hosts
 		}
 	}
+	if !o.PlannedOnly {
+		events = append(events, laterEvents(o)...)
+	}
 	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.offset, b.offset) })
 	return events
 }
 
+// meanLaterGap is the mean time between two events of laterKinds.
+const meanLaterGap = 3 * time.Second
+
+// laterEvents returns the events of laterKinds.
+func laterEvents(o *Options) []event {
+	const sequence = 1 << 32 // differs from all numbers of hosts
+	random := rand.New(rand.NewPCG(o.Seed, sequence))
+	var events []event
+	for offset := time.Duration(0); ; {
+		offset += time.Duration(random.ExpFloat64() * float64(meanLaterGap))
+		if offset >= o.Duration {
+			return events
+		}
+		events = append(events, event{
+			kind:     laterKinds[random.IntN(len(laterKinds))],
+			offset:   offset,
+			duration: time.Duration(random.Int64N(int64(maxEventDuration))) + 50*time.Millisecond,
+			host:     random.IntN(o.Hosts),
+			variant:  random.IntN(variantCount),
+		})
+	}
+}
+
 func randomKind(random *rand.Rand, onlyPlanned bool) eventKind {
 	for {
 		k := eventKind(random.IntN(int(kindCount)))
