--- a/plugins/replica/restore_test.go
+++ b/plugins/replica/restore_test.go
@@ -1,5 +1,3 @@
-//go:build !race
-
 package replica
 
 import (
