An outage of the store is reported only after a second failed call

Cause: the call had failed before other hosts were asked, so nothing showed that the host could reach anybody while it failed. Change: the evidence of others counts once another call to the store fails that started after they had answered. The unit test that took two stale copies for an outage now asks for the second call, which is stricter.

--- a/plugins/replica/fetch.go
+++ b/plugins/replica/fetch.go
@@ -49,7 +49,7 @@
 	r.links.apply(response.Links, r.list.Load().Hosts)
 	r.outage.recordPeerAge(response.Age)
 	r.outage.recordPeerOutage(response.SinceOutage, now.Sub(r.fresh.confirmed) > r.settings.refreshAge(), now)
-	r.fresh.recordPeer(confirmed, failedAt)
+	r.fresh.recordPeer(confirmed, failedAt, now)
 	r.mu.Unlock()
 	r.apply(update{
 		items:     items,
--- a/plugins/replica/lease_test.go
+++ b/plugins/replica/lease_test.go
@@ -45,18 +45,36 @@
 	f := freshness{confirmed: at(0)}
 	f.recordFailure(at(100), at(1400))
 	g.Expect(f.storeFailedAt()).To(BeZero(), "the node may be cut off")
-	f.recordPeer(at(50), time.Time{})
-	g.Expect(f.storeFailedAt()).To(BeZero(), "the other node may be cut off as well")
-	f.recordPeer(at(50), time.Time{})
-	g.Expect(f.storeFailedAt()).To(Equal(at(1400)))
-	f.recordPeer(at(200), time.Time{})
+	f.recordPeer(at(50), time.Time{}, at(1410))
+	f.recordPeer(at(50), time.Time{}, at(1420))
+	g.Expect(f.storeFailedAt()).To(BeZero(), "the node may have been cut off until now")
+	g.Expect(f.failure.suspected()).To(BeTrue())
+	f.recordFailure(at(1430), at(1800))
+	g.Expect(f.storeFailedAt()).To(Equal(at(1800)), "it failed again after others had responded")
+	f.recordPeer(at(1500), time.Time{}, at(1810))
 	g.Expect(f.storeFailedAt()).To(BeZero(), "the store responded to another node")
-	f.recordPeer(at(50), at(1500))
-	g.Expect(f.storeFailedAt()).To(Equal(at(1500)), "another node reports an outage")
-	f.confirm(at(1600))
+	f.recordPeer(at(50), at(1900), at(1910))
+	g.Expect(f.storeFailedAt()).To(Equal(at(1900)), "another node reports an outage")
+	f.confirm(at(2000))
 	g.Expect(f.storeFailedAt()).To(BeZero(), "the store responded later")
 }
 
+func TestFailuresWithoutOtherNodesAreNoOutage(t *testing.T) {
+	g := NewWithT(t)
+	at := func(ms int) time.Time { return time.Unix(1_000_000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	f := freshness{confirmed: at(0)}
+	f.recordFailure(at(100), at(1400))
+	f.recordFailure(at(1500), at(2800))
+	f.recordPeer(at(50), time.Time{}, at(2900))
+	f.recordFailure(at(2950), at(3300))
+	g.Expect(f.storeFailedAt()).To(BeZero(), "the other node may be cut off as well")
+	f.recordPeer(at(50), time.Time{}, at(3400))
+	g.Expect(f.storeFailedAt()).To(Equal(at(3300)))
+	f.recordSuccess()
+	f.recordFailure(at(4000), at(5300))
+	g.Expect(f.storeFailedAt()).To(BeZero(), "what was known before the store responded is void")
+}
+
 func TestWatchConfirmsTheTimeBeforeItsResponseWasSent(t *testing.T) {
 	g := NewWithT(t)
 	start := time.Unix(1_000_000, 0)
