Large files are split, and target states are logged with the usual words

Event 2204 says healthy, unreachable, failure_rate and slowdown in place of words of its own. No logic changes.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -221,11 +221,10 @@
 	for i := range r.requests {
 		q := &r.requests[i]
 		requests[q.reply.ID] = q
-		worker, signed := strings.CutPrefix(q.reply.Header.Get("X-Response-Signature"), "signed-by-")
-		if q.reply.Header.Get("Server-Leaving") == "" || !signed {
+		if !q.reply.WorkerLeaves() || q.reply.Worker() == "" {
 			continue
 		}
-		p := process{q.host, q.incarnation, worker}
+		p := process{q.host, q.incarnation, q.reply.Worker()}
 		if at, heard := heardAt[p]; !heard || q.ended.Before(at) {
 			heardAt[p] = q.ended
 		}
--- a/plugins/sidecar/events.go
+++ b/plugins/sidecar/events.go
@@ -41,15 +41,15 @@
 	eventTargetState = event.Define(event.Event{
 		Number:  2204,
 		Level:   logrus.InfoLevel,
-		Message: "belief of a target changed",
-		Fields:  []string{"target", "state", "failing", "pace", "away_ms"},
-		Meaning: "The node's estimate of a target's state has changed to well (healthy), slow, failing or away (unreachable), based on the answers it received. Requests are placed accordingly.",
+		Message: "target state changed",
+		Fields:  []string{"target", "state", "failure_rate", "slowdown", "unreachable_ms"},
+		Meaning: "The node's estimate of a target's state has changed to healthy, slow, failing or unreachable, based on the answers it received. Requests are placed accordingly.",
 		Action:  "Investigate a target that stays slow or failing.",
 	})
 	eventRejected = event.Define(event.Event{
 		Number:  2206,
 		Level:   logrus.InfoLevel,
-		Message: "request turned away",
+		Message: "request rejected",
 		Fields:  []string{"request", "authority", "path", "configuration", "revision", "reason", "status", "retry_after_ms"},
 		Meaning: "The entry node has rejected a request before selecting a target: no route matches its authority and path, the node has no configuration yet or is draining, or the request cannot be read or is too large. The field configuration is 0 if there is none.",
 		Action:  "For no-route, compare the authority and path with the configuration of that number; another node may have a later one.",
--- a/plugins/sidecar/instance.go
+++ b/plugins/sidecar/instance.go
@@ -55,24 +55,6 @@
 	return inst
 }
 
-const (
-	// runTimeWeight is the weight of a new run time in the mean of its route.
-	runTimeWeight = 0.05
-	// slowdownWeight is the weight of a new run in the target's slowdown. Samples that
-	// differ from the current value by more than outlierFactor, in either direction, have
-	// outlierWeight instead, so that a slow target is detected after a few runs and a
-	// recovered one as quickly.
-	slowdownWeight = 0.1
-	outlierFactor  = 3
-	outlierWeight  = 0.25
-	// maxSlowdown bounds the sample of a single run.
-	maxSlowdown = 20
-)
-
-// failureWeight is the weight of a new result in the failure rate. A target that fails half
-// of its requests is detected after a few of them.
-const failureWeight = 0.08
-
 // admissionResult ends the wait of a request: either it has started, or it was rejected
 // and wait is the expected wait of a new request.
 type admissionResult struct {
@@ -178,120 +160,6 @@
 	return model.ReasonOverloaded
 }
 
-// expectedRunTime returns the expected run time of a request of a route: the route's mean
-// times the current slowdown. Without samples it assumes a third of the objective.
-func (i *instance) expectedRunTime(route string, objective time.Duration) time.Duration {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	runTime, ok := i.meanRunTimes[route]
-	if !ok {
-		runTime = objective / 3
-	}
-	return time.Duration(float64(runTime) * i.slowdown)
-}
-
-// recordRun records a run that ended with a complete answer.
-func (i *instance) recordRun(route string, runTime time.Duration) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	normalized := time.Duration(float64(runTime) / i.slowdown)
-	mean, known := i.meanRunTimes[route]
-	if !known {
-		i.meanRunTimes[route] = normalized
-		return
-	}
-	i.recordSlowdown(float64(runTime) / float64(max(mean, time.Millisecond)))
-	i.meanRunTimes[route] = mean + time.Duration(runTimeWeight*float64(normalized-mean))
-}
-
-// recordUnfinishedRun records a run that was canceled after a time. That time is only a
-// lower bound of the run time, so it counts only if it exceeds the current slowdown.
-func (i *instance) recordUnfinishedRun(route string, runTime time.Duration) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	mean, known := i.meanRunTimes[route]
-	if !known {
-		return
-	}
-	if sample := float64(runTime) / float64(max(mean, time.Millisecond)); sample > i.slowdown {
-		i.recordSlowdown(sample)
-	}
-}
-
-// recordSlowdown updates the slowdown by a run time relative to the mean of its route. The
-// caller holds mu.
-func (i *instance) recordSlowdown(sample float64) {
-	sample = min(sample, maxSlowdown)
-	weight := slowdownWeight
-	if sample > outlierFactor*i.slowdown || i.slowdown > outlierFactor*sample {
-		weight = outlierWeight
-	}
-	i.slowdown += weight * (sample - i.slowdown)
-}
-
-// recordResult updates the failure rate by whether the target failed a request.
-func (i *instance) recordResult(failed bool) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.failureRate.add(failed, time.Now())
-}
-
-// recordUnreachable records that the target did not accept a connection.
-func (i *instance) recordUnreachable() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.reachability.recordFailure(time.Now())
-	i.failureRate.add(true, time.Now())
-}
-
-// recordAnswer records that the target has answered.
-func (i *instance) recordAnswer() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.reachability.recordAnswer()
-}
-
-// unreachableFor returns how long the target is expected to accept no connections, 0 if it
-// is reachable. It starts a connection attempt in the background when one is due.
-func (i *instance) unreachableFor() time.Duration {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	now := time.Now()
-	if !i.reachability.unreachable {
-		return 0
-	}
-	if i.reachability.startProbe(now) {
-		go i.probe()
-	}
-	return i.reachability.retryAfter(now)
-}
-
-// probe probes an unreachable target by opening a connection.
-func (i *instance) probe() {
-	err := i.pool.Connect(context.Background()) // the pool applies the connect timeout
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.reachability.recordProbe(err == nil, time.Now())
-}
-
-// replacedTimeout is how long an instance is considered replaced after another instance has
-// answered in its place. It is limited because an instance may, rarely, return under its ID.
-const replacedTimeout = time.Second
-
-// recordReplaced records that another instance has answered.
-func (i *instance) recordReplaced() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.replacedUntil = time.Now().Add(replacedTimeout)
-}
-
-// isReplaced reports whether another instance has answered within replacedTimeout.
-func (i *instance) isReplaced() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return time.Now().Before(i.replacedUntil)
-}
-
 // load returns the current load report of the target.
 func (i *instance) load() load {
 	i.mu.Lock()
@@ -310,25 +178,3 @@
 func (i *instance) close() {
 	i.pool.Close()
 }
-
-// decayingRate is an exponentially weighted rate of a yes-or-no event. It also decays with
-// time, so that old results don't count against a target that gets few requests.
-type decayingRate struct {
-	value     float64
-	updatedAt time.Time
-}
-
-// at returns the rate as of a time.
-func (r *decayingRate) at(now time.Time) float64 {
-	return r.value * decay(now.Sub(r.updatedAt), failureHalfLife)
-}
-
-func (r *decayingRate) add(happened bool, now time.Time) {
-	sample := 0.0
-	if happened {
-		sample = 1
-	}
-	value := r.at(now)
-	r.value = value + failureWeight*(sample-value)
-	r.updatedAt = now
-}
--- a/plugins/sidecar/targetstate.go
+++ b/plugins/sidecar/targetstate.go
@@ -9,10 +9,10 @@
 
 // The states of a target as logged.
 const (
-	stateHealthy     = "well"
+	stateHealthy     = "healthy"
 	stateSlow        = "slow"
 	stateFailing     = "failing"
-	stateUnreachable = "away"
+	stateUnreachable = "unreachable"
 )
 
 const (
@@ -55,10 +55,10 @@
 	}
 	r.loggedState = state
 	s.log.Emit(eventTargetState, event.Fields{
-		"target":  t.ID,
-		"state":   state,
-		"failing": r.load.FailureRate,
-		"pace":    r.load.Slowdown,
-		"away_ms": max(r.cooldownUntil.Sub(now), r.peer.nextProbe.Sub(now), 0).Milliseconds(),
+		"target":         t.ID,
+		"state":          state,
+		"failure_rate":   r.load.FailureRate,
+		"slowdown":       r.load.Slowdown,
+		"unreachable_ms": max(r.cooldownUntil.Sub(now), r.peer.nextProbe.Sub(now), 0).Milliseconds(),
 	})
 }
