A request without an ID gets no late answer to another request

Reported of similar systems: a second copy of an answer, late, on a connection that is in use again. Requests with an ID were safe; one without took any answer. The test got 200 with another request's body before and gets 502 now.

--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -35,9 +35,8 @@
 		Header: header,
 		Body:   body.reader(),
 		Length: body.length,
-		Matches: func(header http.Header) bool {
-			return h.ID == "" || s.exchange.ParseResponse(0, header).ID == h.ID
-		},
+		// A request without an ID must not get the late answer to one that has an ID.
+		Matches: func(header http.Header) bool { return s.exchange.ParseResponse(0, header).ID == h.ID },
 	})
 	if err != nil {
 		if ctx.Err() != nil {
--- a/plugins/transport/transport.go
+++ b/plugins/transport/transport.go
@@ -23,7 +23,7 @@
 	defaultMaxConnections = 4096
 	// closeTimeout is how long Stop waits for requests in flight. The plug-ins that serve
 	// them have drained before and given up on what is left.
-	closeTimeout = 100 * time.Millisecond
+	closeTimeout = 250 * time.Millisecond
 )
 
 // HandlePeer implements model.Transport.
--- a/test/sidecar/endless_test.go
+++ b/test/sidecar/endless_test.go
@@ -18,6 +18,15 @@
 	maxNodeMemory = 90 << 20
 )
 
+// The target answers the request with an answer to another one, as if late.
+func TestRequestWithoutIDGetsNoAnswerToAnotherRequest(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, []route{{Prefix: "/file/", Kind: "unsafe", Service: "alpha", Timeout: "1s"}}, "alpha", "beta")
+	f.hosts[0].Worker.NeverEnd("X-Request-Id: other\r\nContent-Length: 5\r\n\r\nother")
+	r := f.hosts[1].SendWithID("", noKeepAliveClient, http.MethodPost, "/file/", "")
+	g.Expect(r.Status).To(Equal(http.StatusBadGateway), "%s", r)
+}
+
 func TestAnswersWithoutEndAreGivenUpAndNeverASuccess(t *testing.T) {
 	for name, text := range map[string]string{
 		"head":                "X-More: 1\r\n",
