--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -126,6 +126,7 @@
 		w.WriteHeader(status)
 		return
 	}
+	w.Header().Set(model.HeaderRequestID, id)
 	w.Header().Set(HeaderBodyChecksum, strconv.FormatUint(uint64(crc32.ChecksumIEEE(body)), 16))
 	if t.writeResponse(w, r, b, id) {
 		t.executions.update(id, func(e *ExecutionRecord) { e.Completed++ })
--- a/plugins/forwarding/target.go
+++ b/plugins/forwarding/target.go
@@ -15,6 +15,7 @@
 
 	"github.com/bronzemast/bronzemast/config"
 	"github.com/bronzemast/bronzemast/model"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -94,6 +95,9 @@
 	}
 }
 
+// errCrossedAnswer is returned for an answer that names another request.
+var errCrossedAnswer = errors.New("the target answered another request")
+
 // call sends an attempt to the target. dispatched reports whether any part of the
 // request may have reached the target.
 func (t *target) call(ctx context.Context, in *inbound) (response *http.Response, dispatched bool, err error) {
@@ -102,9 +106,20 @@
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	response, err = t.transportFor(in.service).RoundTrip(t.request(in).WithContext(traced))
+	if err == nil && !answers(response, in) {
+		_ = response.Body.Close() // the unread body closes the connection
+		return nil, true, errCrossedAnswer
+	}
 	return response, connected.Load(), err
 }
 
+// answers reports whether a response belongs to an attempt, as far as the target says: a
+// target may return the ID of the request that it answers.
+func answers(response *http.Response, in *inbound) bool {
+	id := response.Header.Get(model.HeaderRequestID)
+	return id == "" || id == in.request.Header.Get(model.HeaderRequestID)
+}
+
 // request builds the request to the target.
 func (t *target) request(in *inbound) *http.Request {
 	urlPath, rawPath := targetPath(in.request)
--- a/plugins/forwarding/targetside.go
+++ b/plugins/forwarding/targetside.go
@@ -192,6 +192,9 @@
 	startTime := time.Now()
 	response, dispatched, err := t.target.call(ctx, in)
 	if err != nil {
+		if errors.Is(err, errCrossedAnswer) {
+			t.metrics.crossedAnswers.Add(1)
+		}
 		in.serviceTime = time.Since(startTime)
 		return model.AdmissionResult{ServiceTime: in.serviceTime, Failed: true}, t.errorReply(ctx, in, dispatched)
 	}
