--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -169,8 +169,13 @@
 }
 
 // restoreStore lets the store lose its last changes, which are written again after a while. The
-// variant determines how many are lost.
+// variant determines how many are lost. It does nothing while what an earlier restore lost has
+// not been written again, since that would then replace later writes.
 func (r *runner) restoreStore(ctx context.Context, e event) {
+	if !r.restoreMu.TryLock() {
+		return
+	}
+	defer r.restoreMu.Unlock()
 	r.fleet.Store.SetFault(standin.Unavailable)
 	_ = clock.Sleep(ctx, restoreAway)
 	rewrite := r.fleet.Store.Restore(r.fleet.Store.Revision() - min(uint64(2*e.variant), r.fleet.Store.Revision()-1))
--- a/internal/soak/runner.go
+++ b/internal/soak/runner.go
@@ -21,10 +21,12 @@
 // runner holds the state of one run: the fleet, the faults that are active and the
 // recorded observations.
 type runner struct {
-	options  *Options
-	fleet    *sidecarfleet.Fleet
-	hosts    []*host
-	recorder *recorder
+	// restoreMu is held while the store has not got back what a restore has lost.
+	restoreMu sync.Mutex
+	options   *Options
+	fleet     *sidecarfleet.Fleet
+	hosts     []*host
+	recorder  *recorder
 
 	// mu guards the fields below and the calls that change the fleet.
 	mu          sync.Mutex
