An outage of the store is reported after other nodes have called it in vain

TestStoreThatRejectsSomeHostsIsNotInOutage: with 3 of 12 hosts rejected by the store at once, hosts reported an outage for up to 4.2 s, and a host cut off then would go on by an old configuration. Cause: stale copies of others were taken as evidence, though these had not called the store. Change: others are asked to call it, at most five at a time and only once the copy is 0.7 s old; three failed calls and none that succeeds show an outage (fewer in small fleets). This takes the place of the node's own second call.

--- a/plugins/replica/fetch.go
+++ b/plugins/replica/fetch.go
@@ -21,8 +21,14 @@
 // fetchFrom fetches changes from the copy of the node at a peer address and applies them.
 // The peer waits for up to wait if it has none. It returns nil if the call fails.
 func (r *Replica) fetchFrom(ctx context.Context, peer string, wait time.Duration) *peerResponse {
+	return r.fetch(ctx, peer, r.peerRequest(wait))
+}
+
+// fetch sends a request to the node at a peer address and applies the changes. It returns nil if
+// the call fails.
+func (r *Replica) fetch(ctx context.Context, peer string, q peerRequest) *peerResponse {
 	start := time.Now()
-	response, err := r.client.watch(ctx, peer, r.peerRequest(wait))
+	response, err := r.client.watch(ctx, peer, q)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return nil // the node stops
 	}
@@ -49,7 +55,7 @@
 	r.links.apply(response.Links, r.list.Load().Hosts)
 	r.outage.recordPeerAge(response.Age)
 	r.outage.recordPeerOutage(response.SinceOutage, now.Sub(r.fresh.confirmed) > r.settings.refreshAge(), now)
-	r.fresh.recordPeer(confirmed, failedAt, now)
+	r.fresh.recordPeer(confirmed, failedAt)
 	r.mu.Unlock()
 	r.apply(update{
 		items:     items,
--- a/plugins/replica/fleet_test.go
+++ b/plugins/replica/fleet_test.go
@@ -166,7 +166,10 @@
 // storeSlack is the time beyond its wait after which a call fails that gets no answer.
 const storeSlack = 700 * time.Millisecond
 
-var errNoAnswer = errors.New("the store does not answer")
+var (
+	errNoAnswer    = errors.New("the store does not answer")
+	errRefusedCall = errors.New("the store rejects the call")
+)
 
 // List implements model.Store.
 func (s hostStore) List(ctx context.Context, _ bool) ([]model.Item, model.Position, error) {
@@ -191,6 +194,9 @@
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
+	if s.host.refused.Load() {
+		return nil, model.Position{}, errRefusedCall
+	}
 	timeout := time.After(wait + storeSlack)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -260,6 +266,8 @@
 	domain   string
 	mbps     float64
 	isolated boolFlag
+	// refused is set while the store rejects the host's calls at once.
+	refused boolFlag
 
 	replica *Replica
 	stop    context.CancelFunc
--- a/plugins/replica/lease.go
+++ b/plugins/replica/lease.go
@@ -24,65 +24,57 @@
 	newestPosition model.Position
 }
 
-// storeFailure is a failed call to the store.
+// storeFailure is the last failed call to the store.
 type storeFailure struct {
 	startedAt, endedAt time.Time
-	// stalePeers counts the responses of other nodes since, whose copies were not up to
-	// date after the start of the call either. The first one arrived at staleAt.
-	stalePeers int
-	staleAt    time.Time
-	// repeated is set if an earlier call had failed, such a response had arrived after it,
-	// and this call started later. So this node was not cut off when this call started.
-	repeated bool
+	// corroborated is set if other nodes have called the store since the first failure in
+	// a row, and it failed for them as well.
+	corroborated bool
 }
 
-// minStalePeers is the number of responses that show that the store is in an outage rather
-// than this node, or this node and the one that responded, cut off from it.
-const minStalePeers = 2
-
-// suspected reports whether the failure may be due to an outage of the store, which another
-// call would show.
-func (f storeFailure) suspected() bool { return f.stalePeers > 0 && !f.repeated }
-
-// corroborated reports whether the store failed although this node could reach others, and
-// these show that it failed for them as well.
-func (f storeFailure) corroborated() bool { return f.repeated && f.stalePeers >= minStalePeers }
-
 // confirm records that the copy was up to date at a time.
 func (f *freshness) confirm(at time.Time) {
 	f.confirmed = latest(f.confirmed, at)
 }
 
 // recordFailure records a call of this node to the store that has failed, or is overdue, at
-// endedAt. Evidence of other nodes is kept if the call started after it. A call that started
-// before the last failed one adds nothing.
+// endedAt. A call that started before the last failed one adds nothing.
 func (f *freshness) recordFailure(startedAt, endedAt time.Time) {
-	if !startedAt.After(f.failure.startedAt) {
-		f.failure.endedAt = latest(f.failure.endedAt, endedAt)
-		return
-	}
-	next := storeFailure{startedAt: startedAt, endedAt: endedAt}
-	if earlier := f.failure; earlier.stalePeers > 0 && !startedAt.Before(earlier.staleAt) {
-		next.repeated, next.stalePeers, next.staleAt = true, earlier.stalePeers, earlier.staleAt
+	f.failure.startedAt = latest(f.failure.startedAt, startedAt)
+	f.failure.endedAt = latest(f.failure.endedAt, endedAt)
+}
+
+// recordOpinions records how many nodes have called the store at this node's request, by
+// whether the store failed. One response shows that the store is not in an outage.
+func (f *freshness) recordOpinions(failed, responded, hosts int) {
+	switch {
+	case responded > 0:
+		f.failure = storeFailure{}
+	case failed >= requiredOpinions(hosts):
+		f.failure.corroborated = true
 	}
-	f.failure = next
+}
+
+// maxRequiredOpinions is the number of failed calls of other nodes that show an outage in all
+// but the smallest fleets. The store may reject a few hosts and serve all others.
+const maxRequiredOpinions = 3
+
+// requiredOpinions returns the number of failed calls of other nodes that show an outage, in a
+// fleet with the given number of hosts: fewer than half of the others, as some may be down.
+func requiredOpinions(hosts int) int {
+	return max(1, min(maxRequiredOpinions, (hosts-1)/2))
 }
 
 // recordSuccess records a successful call of this node to the store.
 func (f *freshness) recordSuccess() { f.failure = storeFailure{} }
 
-// recordPeer records a response of another node that arrived now: when its copy was last up
-// to date, and when a call to the store last failed as far as it knows, zero if none did.
-func (f *freshness) recordPeer(confirmed, failedAt, now time.Time) {
+// recordPeer records a response of another node: when its copy was last up to date, and
+// when a call to the store last failed as far as it knows, zero if none did.
+func (f *freshness) recordPeer(confirmed, failedAt time.Time) {
 	f.reportedAt = latest(f.reportedAt, failedAt)
 	if confirmed.After(f.failure.startedAt) {
 		f.failure = storeFailure{} // the store responds to others
-		return
-	}
-	if f.failure.stalePeers == 0 {
-		f.failure.staleAt = now
 	}
-	f.failure.stalePeers++
 }
 
 // storeFailedAt returns when a call to the store last failed in an outage that this node
@@ -90,7 +82,7 @@
 // count.
 func (f *freshness) storeFailedAt() time.Time {
 	failedAt := f.reportedAt
-	if f.failure.corroborated() {
+	if f.failure.corroborated {
 		failedAt = latest(failedAt, f.failure.endedAt)
 	}
 	if !failedAt.After(f.confirmed) {
--- a/plugins/replica/lease_test.go
+++ b/plugins/replica/lease_test.go
@@ -42,37 +42,40 @@
 func TestFailureOfOneNodeIsNoOutage(t *testing.T) {
 	g := NewWithT(t)
 	at := func(ms int) time.Time { return time.Unix(1_000_000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	const hosts = 12
 	f := freshness{confirmed: at(0)}
 	f.recordFailure(at(100), at(1400))
-	g.Expect(f.storeFailedAt()).To(BeZero(), "the node may be cut off")
-	f.recordPeer(at(50), time.Time{}, at(1410))
-	f.recordPeer(at(50), time.Time{}, at(1420))
-	g.Expect(f.storeFailedAt()).To(BeZero(), "the node may have been cut off until now")
-	g.Expect(f.failure.suspected()).To(BeTrue())
-	f.recordFailure(at(1430), at(1800))
-	g.Expect(f.storeFailedAt()).To(Equal(at(1800)), "it failed again after others had responded")
-	f.recordPeer(at(1500), time.Time{}, at(1810))
+	f.recordPeer(at(50), time.Time{})
+	f.recordPeer(at(50), time.Time{})
+	f.recordPeer(at(50), time.Time{})
+	g.Expect(f.storeFailedAt()).To(BeZero(), "stale copies of others show nothing: they may follow this node")
+	f.recordOpinions(2, 0, hosts)
+	g.Expect(f.storeFailedAt()).To(BeZero(), "the others may be cut off or rejected as well")
+	f.recordOpinions(4, 1, hosts)
+	g.Expect(f.storeFailedAt()).To(BeZero(), "the store responded to one")
+	f.recordFailure(at(1500), at(2800))
+	f.recordOpinions(3, 0, hosts)
+	g.Expect(f.storeFailedAt()).To(Equal(at(2800)))
+	f.recordFailure(at(2900), at(4200))
+	g.Expect(f.storeFailedAt()).To(Equal(at(4200)), "the outage goes on")
+	f.recordPeer(at(3000), time.Time{})
 	g.Expect(f.storeFailedAt()).To(BeZero(), "the store responded to another node")
-	f.recordPeer(at(50), at(1900), at(1910))
-	g.Expect(f.storeFailedAt()).To(Equal(at(1900)), "another node reports an outage")
-	f.confirm(at(2000))
+	f.recordPeer(at(50), at(4300))
+	g.Expect(f.storeFailedAt()).To(Equal(at(4300)), "another node reports an outage")
+	f.confirm(at(4400))
 	g.Expect(f.storeFailedAt()).To(BeZero(), "the store responded later")
+	f.recordFailure(at(5000), at(6300))
+	f.recordOpinions(5, 0, hosts)
+	f.recordSuccess()
+	f.recordFailure(at(7000), at(8300))
+	g.Expect(f.storeFailedAt()).To(BeZero(), "what was known before the store responded is void")
 }
 
-func TestFailuresWithoutOtherNodesAreNoOutage(t *testing.T) {
+func TestRequiredOpinionsGrowWithTheFleet(t *testing.T) {
 	g := NewWithT(t)
-	at := func(ms int) time.Time { return time.Unix(1_000_000, 0).Add(time.Duration(ms) * time.Millisecond) }
-	f := freshness{confirmed: at(0)}
-	f.recordFailure(at(100), at(1400))
-	f.recordFailure(at(1500), at(2800))
-	f.recordPeer(at(50), time.Time{}, at(2900))
-	f.recordFailure(at(2950), at(3300))
-	g.Expect(f.storeFailedAt()).To(BeZero(), "the other node may be cut off as well")
-	f.recordPeer(at(50), time.Time{}, at(3400))
-	g.Expect(f.storeFailedAt()).To(Equal(at(3300)))
-	f.recordSuccess()
-	f.recordFailure(at(4000), at(5300))
-	g.Expect(f.storeFailedAt()).To(BeZero(), "what was known before the store responded is void")
+	for hosts, want := range map[int]int{2: 1, 3: 1, 4: 1, 5: 2, 6: 2, 7: 3, 100: 3} {
+		g.Expect(requiredOpinions(hosts)).To(Equal(want), "%d hosts", hosts)
+	}
 }
 
 func TestWatchConfirmsTheTimeBeforeItsResponseWasSent(t *testing.T) {
--- a/plugins/replica/overdue.go
+++ b/plugins/replica/overdue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -13,11 +14,17 @@
 const (
 	// overdueAfter is the time beyond the wait of a watch after which it is overdue.
 	overdueAfter = 200 * time.Millisecond
-	// askTimeout bounds the calls to other nodes after a failed or overdue call to the
-	// store, and retryTimeout the second call to the store. An overdue watch and these end
-	// at about the same time, before the copy is too old.
-	askTimeout   = 150 * time.Millisecond
-	retryTimeout = 350 * time.Millisecond
+	// verifyAge is the age of the copy from which other nodes are asked to call the store
+	// after a failed call. Copies of followers are about as old at most without faults.
+	verifyAge = 700 * time.Millisecond
+	// opinionTimeout bounds such a call of another node to the store, and askTimeout the
+	// request for it. Both end before the lease of the copy does.
+	opinionTimeout = 350 * time.Millisecond
+	askTimeout     = 450 * time.Millisecond
+	// opinionTTL is how long the result of such a call is used for other requests.
+	opinionTTL = 250 * time.Millisecond
+	// maxAsked is the number of hosts that are asked at once; some may be down.
+	maxAsked = 5
 )
 
 // checkWhenOverdue verifies, once the call to the store that started at a time is overdue,
@@ -55,53 +62,107 @@
 	r.fresh.recordFailure(start, time.Now())
 }
 
-// verifyFailure finds out whether other nodes have newer copies, and calls the store once more
-// if they have not. It reports whether the store responded.
-func (r *Replica) verifyFailure(ctx context.Context, s *sourceState) bool {
-	r.askOthers(ctx, s)
-	return r.outageSuspected() && r.retryStore(ctx)
+// verifyFailure asks other nodes to call the store and fetches their changes. If the copy is
+// fresh or an outage is known, it fetches the changes of one node only.
+func (r *Replica) verifyFailure(ctx context.Context, s *sourceState) {
+	if r.age() < verifyAge || r.outageKnown() {
+		r.fetchFromHost(ctx, otherDomainHost(s, rand.Uint64()))
+		return
+	}
+	failed, responded := r.askOthers(ctx, s)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fresh.recordOpinions(failed, responded, len(s.hosts))
+	r.renewLease()
+}
+
+func (r *Replica) outageKnown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.fresh.storeFailedAt().IsZero()
 }
 
-// askOthers fetches changes from minStalePeers other hosts at once, of other failure domains if
-// possible.
-func (r *Replica) askOthers(ctx context.Context, s *sourceState) {
+// askOthers asks up to maxAsked hosts, chosen by random, to call the store. It returns for how
+// many of them the store failed and how many it responded to.
+func (r *Replica) askOthers(ctx context.Context, s *sourceState) (failed, responded int) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	q := r.peerRequest(0)
+	q.verify = true
+	asked := otherHosts(s)
+	rand.Shuffle(len(asked), func(i, j int) { asked[i], asked[j] = asked[j], asked[i] })
+	asked = asked[:min(len(asked), maxAsked)]
+	responses := make([]*peerResponse, len(asked))
 	var calls sync.WaitGroup
-	for range minStalePeers {
-		calls.Go(func() { r.fetchFromHost(ctx, otherDomainHost(s, rand.Uint64())) })
+	for i, host := range asked {
+		calls.Go(func() { responses[i] = r.fetch(ctx, netip.AddrPortFrom(host, r.peerPort).String(), q) })
 	}
 	calls.Wait()
+	for _, response := range responses {
+		switch {
+		case response == nil:
+		case response.storeFailed:
+			failed++
+		case response.Age < verifyAge:
+			responded++
+		}
+	}
+	return failed, responded
 }
 
-// outageSuspected reports whether the last call to the store may have failed because of an
-// outage of the store.
-func (r *Replica) outageSuspected() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.fresh.failure.suspected()
+// otherHosts returns all hosts but the own one.
+func otherHosts(s *sourceState) []netip.Addr {
+	var hosts []netip.Addr
+	for _, host := range s.hosts {
+		if host.Address != s.self {
+			hosts = append(hosts, host.Address)
+		}
+	}
+	return hosts
+}
+
+// opinion is the result of a call to the store at the request of another node.
+type opinion struct {
+	// calling holds an element while a call is under way.
+	calling chan struct{}
+	failed  bool
+	at      time.Time
 }
 
-// retryStore calls the store once more, at once, after other nodes have responded: the first
-// call may have failed because this node was cut off. It reports whether the store responded.
-func (r *Replica) retryStore(ctx context.Context) bool {
-	position := r.Position()
-	if position.IsZero() {
+// storeFails calls the store for another node, unless the copy is fresh or it has just done so,
+// and reports whether that failed.
+func (r *Replica) storeFails(ctx context.Context) bool {
+	select {
+	case r.opinion.calling <- struct{}{}:
+		defer func() { <-r.opinion.calling }()
+	case <-ctx.Done():
 		return false
 	}
-	start := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, retryTimeout)
+	if r.age() < opinionTTL || r.Position().IsZero() {
+		return false
+	}
+	if time.Since(r.opinion.at) < opinionTTL {
+		return r.opinion.failed
+	}
+	r.opinion.failed = !r.callStore(ctx)
+	r.opinion.at = time.Now()
+	return r.opinion.failed
+}
+
+// callStore reads the present changes from the store and reports whether it responded.
+func (r *Replica) callStore(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, opinionTimeout)
 	defer cancel()
-	items, upTo, err := r.store.Watch(ctx, position, 0)
-	switch {
-	case errors.Is(err, model.ErrCompacted):
-		r.storeSucceeded()
-		return true // the next call lists the store
-	case err != nil:
-		_ = r.storeFailed(start, err) // the pause after the first call applies
+	start := time.Now()
+	items, position, err := r.store.Watch(ctx, r.Position(), 0)
+	r.metrics.storeCalls.Add(1)
+	if errors.Is(err, model.ErrCompacted) {
+		return true // the store responds; a reader lists it
+	}
+	if err != nil {
+		r.metrics.storeFailures.Add(1)
 		return false
 	}
-	r.apply(update{items: items, position: upTo, confirmed: start, via: viaStore})
-	r.storeSucceeded()
+	r.apply(update{items: items, position: position, confirmed: start, via: viaStore})
 	return true
 }
--- a/plugins/replica/peer.go
+++ b/plugins/replica/peer.go
@@ -63,8 +63,14 @@
 
 	// era is the era of the copy.
 	era uint64
+	// storeFailed is set if the node has called the store, as requested, and it failed. It is
+	// sent in a header.
+	storeFailed bool
 }
 
+// headerStoreFailed is set on the response to a request to call the store, if that failed.
+const headerStoreFailed = "Bronzemast-Store-Failed"
+
 // position returns the position of the copy.
 func (p *peerResponse) position() model.Position {
 	return model.Position{Era: p.era, Revision: p.Revision}
@@ -84,6 +90,9 @@
 	// before it responds.
 	after model.Position
 	wait  time.Duration
+	// verify asks the peer to call the store, if its own copy is not fresh, before it
+	// responds.
+	verify bool
 	// eraUnknown is set if the node does not know eras.
 	eraUnknown bool
 	// mbps is the rate of the node's own link in Mbit/s, 0 if it is not known, and links
@@ -104,6 +113,9 @@
 		"link_mbps": {strconv.FormatFloat(q.mbps, 'f', -1, 64)},
 		"links":     {strconv.FormatUint(q.links, 16)},
 	}
+	if q.verify {
+		query.Set("verify", "1")
+	}
 	for _, key := range slices.Sorted(maps.Keys(q.held)) {
 		query.Add("held", strconv.FormatUint(q.held[key].Revision, 10)+heldSeparator+key)
 	}
@@ -120,6 +132,7 @@
 	if q.after.Revision, err = strconv.ParseUint(query.Get("after"), 10, 64); err != nil {
 		return q, errors.New("after is not a revision")
 	}
+	q.verify = query.Get("verify") == "1"
 	q.eraUnknown = !query.Has("era")
 	if !q.eraUnknown {
 		if q.after.Era, err = strconv.ParseUint(query.Get("era"), 10, 64); err != nil {
@@ -191,6 +204,7 @@
 	if response.era, err = model.ParseEra(received.Header); err != nil {
 		return nil, err
 	}
+	response.storeFailed = received.Header.Get(headerStoreFailed) != ""
 	if err := peerDecoding.Unmarshal(received.Body, &response); err != nil {
 		return nil, errors.Wrap(err, "decode the peer's response")
 	}
--- a/plugins/replica/routing_test.go
+++ b/plugins/replica/routing_test.go
@@ -27,6 +27,43 @@
 	}
 }
 
+// reportedOutage returns the longest time for which a host reported an outage of the store, as
+// a node that is cut off then would go on by its copy.
+func (f *testFleet) reportedOutage(duration time.Duration) time.Duration {
+	var longest time.Duration
+	reportedSince := map[*testHost]time.Time{}
+	for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(changeInterval / 5) {
+		for _, h := range f.hosts {
+			h.replica.mu.Lock()
+			reports := !h.replica.fresh.storeFailedAt().IsZero()
+			h.replica.mu.Unlock()
+			if !reports {
+				delete(reportedSince, h)
+				continue
+			}
+			if _, known := reportedSince[h]; !known {
+				reportedSince[h] = time.Now()
+			}
+			longest = max(longest, time.Since(reportedSince[h]))
+		}
+	}
+	return longest
+}
+
+func TestStoreThatRejectsSomeHostsIsNotInOutage(t *testing.T) {
+	for _, refused := range []int{1, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newTestFleet(t, unevenLinks(12)...)
+			time.Sleep(5 * time.Second)
+			for _, h := range f.hosts[:refused] {
+				h.refused.Store(true)
+			}
+			g.Expect(f.reportedOutage(20*time.Second)).To(BeZero(), "%d hosts are rejected", refused)
+		})
+	}
+}
+
 // Property: with hosts cut off, restarted, and changes at any time, no host routes by a
 // configuration older than one that was published maxStaleness before.
 func TestNoHostRoutesByAnOldConfiguration(t *testing.T) {
--- a/plugins/replica/servepeer.go
+++ b/plugins/replica/servepeer.go
@@ -22,6 +22,7 @@
 	arrived := time.Now()
 	host, sameDomain := r.recordRequester(request, q)
 	r.waitForChange(request.Context(), host, q.after, q.wait)
+	storeFailed := q.verify && r.storeFails(request.Context())
 	response := r.responseTo(q, arrived)
 	if response == nil {
 		http.Error(w, "the node holds nothing yet", http.StatusServiceUnavailable)
@@ -36,6 +37,9 @@
 		return
 	}
 	response.position().SetHeader(w.Header())
+	if storeFailed {
+		w.Header()[headerStoreFailed] = []string{"1"}
+	}
 	w.Header()["Content-Length"] = []string{strconv.Itoa(len(data))}
 	_, _ = w.Write(data) // the peer may have disconnected
 }
--- a/plugins/replica/setup.go
+++ b/plugins/replica/setup.go
@@ -61,6 +61,7 @@
 	// startedAt is when the node started.
 	startedAt time.Time
 	outage    outage
+	opinion   opinion
 	// call is the latest call to the source of changes.
 	call sourceCall
 	// follows is the host whose copy is that source, the zero address if it is the store.
@@ -88,6 +89,7 @@
 		targets:  newTargets(),
 		links:    newLinks(),
 		updated:  make(chan struct{}),
+		opinion:  opinion{calling: make(chan struct{}, 1)},
 	}
 	r.position.Store(&model.Position{})
 	r.list.Store(r.targets.list(model.Position{}))
--- a/plugins/replica/store.go
+++ b/plugins/replica/store.go
@@ -32,9 +32,7 @@
 		return true
 	}
 	pause := r.storeFailed(start, err)
-	if r.verifyFailure(ctx, s) {
-		return true
-	}
+	r.verifyFailure(ctx, s)
 	_ = clock.Sleep(ctx, pause) // the loop ends with ctx
 	return false
 }
--- a/test/sidecar/stop_test.go
+++ b/test/sidecar/stop_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -62,7 +61,7 @@
 			disturb(g, f)
 			time.Sleep(300 * time.Millisecond)
 			took := f.hosts[0].exitTime()
-			t.Log(fmt.Sprintf("%s: %s", name, took.Round(time.Millisecond)))
+			t.Logf("%s: %s", name, took.Round(time.Millisecond))
 			g.Expect(took).To(BeNumerically("<", sidecarfleet.Grace))
 		})
 	}
