--- a/plugins/replica/lease.go
+++ b/plugins/replica/lease.go
@@ -44,25 +44,25 @@
 	f.failure.endedAt = latest(f.failure.endedAt, endedAt)
 }
 
-// recordOpinions records how many nodes have called the store at this node's request, by
+// recordVerification records how many nodes have called the store at this node's request, by
 // whether the store failed. One response shows that the store is not in an outage.
-func (f *freshness) recordOpinions(failed, responded, hosts int) {
+func (f *freshness) recordVerification(failed, responded, hosts int) {
 	switch {
 	case responded > 0:
 		f.failure = storeFailure{}
-	case failed >= requiredOpinions(hosts):
+	case failed >= requiredFailures(hosts):
 		f.failure.corroborated = true
 	}
 }
 
-// maxRequiredOpinions is the number of failed calls of other nodes that show an outage in all
+// maxRequiredFailures is the number of failed calls of other nodes that show an outage in all
 // but the smallest fleets. The store may reject a few hosts and serve all others.
-const maxRequiredOpinions = 3
+const maxRequiredFailures = 3
 
-// requiredOpinions returns the number of failed calls of other nodes that show an outage, in a
+// requiredFailures returns the number of failed calls of other nodes that show an outage, in a
 // fleet with the given number of hosts: fewer than half of the others, as some may be down.
-func requiredOpinions(hosts int) int {
-	return max(1, min(maxRequiredOpinions, (hosts-1)/2))
+func requiredFailures(hosts int) int {
+	return max(1, min(maxRequiredFailures, (hosts-1)/2))
 }
 
 // recordSuccess records a successful call of this node to the store.
--- a/plugins/replica/lease_test.go
+++ b/plugins/replica/lease_test.go
@@ -49,12 +49,12 @@
 	f.recordPeer(at(50), time.Time{})
 	f.recordPeer(at(50), time.Time{})
 	g.Expect(f.storeFailedAt()).To(BeZero(), "stale copies of others show nothing: they may follow this node")
-	f.recordOpinions(2, 0, hosts)
+	f.recordVerification(2, 0, hosts)
 	g.Expect(f.storeFailedAt()).To(BeZero(), "the others may be cut off or rejected as well")
-	f.recordOpinions(4, 1, hosts)
+	f.recordVerification(4, 1, hosts)
 	g.Expect(f.storeFailedAt()).To(BeZero(), "the store responded to one")
 	f.recordFailure(at(1500), at(2800))
-	f.recordOpinions(3, 0, hosts)
+	f.recordVerification(3, 0, hosts)
 	g.Expect(f.storeFailedAt()).To(Equal(at(2800)))
 	f.recordFailure(at(2900), at(4200))
 	g.Expect(f.storeFailedAt()).To(Equal(at(4200)), "the outage goes on")
@@ -65,16 +65,16 @@
 	f.confirm(at(4400))
 	g.Expect(f.storeFailedAt()).To(BeZero(), "the store responded later")
 	f.recordFailure(at(5000), at(6300))
-	f.recordOpinions(5, 0, hosts)
+	f.recordVerification(5, 0, hosts)
 	f.recordSuccess()
 	f.recordFailure(at(7000), at(8300))
 	g.Expect(f.storeFailedAt()).To(BeZero(), "what was known before the store responded is void")
 }
 
-func TestRequiredOpinionsGrowWithTheFleet(t *testing.T) {
+func TestRequiredFailuresGrowWithTheFleet(t *testing.T) {
 	g := NewWithT(t)
 	for hosts, want := range map[int]int{2: 1, 3: 1, 4: 1, 5: 2, 6: 2, 7: 3, 100: 3} {
-		g.Expect(requiredOpinions(hosts)).To(Equal(want), "%d hosts", hosts)
+		g.Expect(requiredFailures(hosts)).To(Equal(want), "%d hosts", hosts)
 	}
 }
 
--- a/plugins/replica/overdue.go
+++ b/plugins/replica/overdue.go
@@ -17,12 +17,12 @@
 	// verifyAge is the age of the copy from which other nodes are asked to call the store
 	// after a failed call. Copies of followers are about as old at most without faults.
 	verifyAge = 700 * time.Millisecond
-	// opinionTimeout bounds such a call of another node to the store, and askTimeout the
+	// verifyTimeout bounds such a call of another node to the store, and askTimeout the
 	// request for it. Both end before the lease of the copy does.
-	opinionTimeout = 350 * time.Millisecond
-	askTimeout     = 450 * time.Millisecond
-	// opinionTTL is how long the result of such a call is used for other requests.
-	opinionTTL = 250 * time.Millisecond
+	verifyTimeout = 350 * time.Millisecond
+	askTimeout    = 450 * time.Millisecond
+	// verificationTTL is how long the result of such a call is used for other requests.
+	verificationTTL = 250 * time.Millisecond
 	// maxAsked is the number of hosts that are asked at once; some may be down.
 	maxAsked = 5
 )
@@ -72,7 +72,7 @@
 	failed, responded := r.askOthers(ctx, s)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fresh.recordOpinions(failed, responded, len(s.hosts))
+	r.fresh.recordVerification(failed, responded, len(s.hosts))
 	r.renewLease()
 }
 
@@ -121,8 +121,8 @@
 	return hosts
 }
 
-// opinion is the result of a call to the store at the request of another node.
-type opinion struct {
+// verification is the result of a call to the store at the request of another node.
+type verification struct {
 	// calling holds an element while a call is under way.
 	calling chan struct{}
 	failed  bool
@@ -133,25 +133,25 @@
 // and reports whether that failed.
 func (r *Replica) storeFails(ctx context.Context) bool {
 	select {
-	case r.opinion.calling <- struct{}{}:
-		defer func() { <-r.opinion.calling }()
+	case r.verification.calling <- struct{}{}:
+		defer func() { <-r.verification.calling }()
 	case <-ctx.Done():
 		return false
 	}
-	if r.age() < opinionTTL || r.Position().IsZero() {
+	if r.age() < verificationTTL || r.Position().IsZero() {
 		return false
 	}
-	if time.Since(r.opinion.at) < opinionTTL {
-		return r.opinion.failed
+	if time.Since(r.verification.at) < verificationTTL {
+		return r.verification.failed
 	}
-	r.opinion.failed = !r.callStore(ctx)
-	r.opinion.at = time.Now()
-	return r.opinion.failed
+	r.verification.failed = !r.callStore(ctx)
+	r.verification.at = time.Now()
+	return r.verification.failed
 }
 
 // callStore reads the present changes from the store and reports whether it responded.
 func (r *Replica) callStore(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, opinionTimeout)
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
 	start := time.Now()
 	items, position, err := r.store.Watch(ctx, r.Position(), 0)
--- a/plugins/replica/setup.go
+++ b/plugins/replica/setup.go
@@ -59,9 +59,9 @@
 	subscribers []func(*model.TargetList)
 	fresh       freshness
 	// startedAt is when the node started.
-	startedAt time.Time
-	outage    outage
-	opinion   opinion
+	startedAt    time.Time
+	outage       outage
+	verification verification
 	// call is the latest call to the source of changes.
 	call sourceCall
 	// follows is the host whose copy is that source, the zero address if it is the store.
@@ -84,12 +84,12 @@
 
 func newReplica() *Replica {
 	r := &Replica{
-		settings: defaultSettings(),
-		copy:     newCopy(),
-		targets:  newTargets(),
-		links:    newLinks(),
-		updated:  make(chan struct{}),
-		opinion:  opinion{calling: make(chan struct{}, 1)},
+		settings:     defaultSettings(),
+		copy:         newCopy(),
+		targets:      newTargets(),
+		links:        newLinks(),
+		updated:      make(chan struct{}),
+		verification: verification{calling: make(chan struct{}, 1)},
 	}
 	r.position.Store(&model.Position{})
 	r.list.Store(r.targets.list(model.Position{}))
