Tests listen at loopback addresses of their own instead of ports that were free a moment ago

Subnets of the loopback range move from procfleet to internal/loopback, which now also gives single addresses; ports are fixed and below the ephemeral range. Three searches of tests and two probes of ephemeral ports are replaced by it (transport, relay, forwarding, distribution, callbench, node).

--- a/bronzemast_test.go
+++ b/bronzemast_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -16,6 +16,7 @@
 	"github.com/bronzemast/bronzemast"
 	"github.com/bronzemast/bronzemast/config"
 	"github.com/bronzemast/bronzemast/examples"
+	"github.com/bronzemast/bronzemast/internal/loopback"
 	"github.com/bronzemast/bronzemast/internal/observe"
 	"github.com/bronzemast/bronzemast/internal/standin/platform"
 	"github.com/bronzemast/bronzemast/internal/standin/target"
@@ -44,27 +45,21 @@
   }
 }`
 
-// freeAddresses returns n loopback addresses with unused ports.
-func freeAddresses(g *WithT, n int) []string {
-	var addresses []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		g.Expect(err).NotTo(HaveOccurred())
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses
-}
+const (
+	callPort     = 7000
+	peerPort     = 7001
+	operatorPort = 7070
+)
 
 // newNodes creates nodes for the example configuration clearplate.
 func newNodes(g *WithT, platformURL, targetAddress string) ([]*bronzemast.Node, *model.HostList) {
-	const addressesPerNode = 3
-	addresses := freeAddresses(g, nodeCount*addressesPerNode)
 	list := &model.HostList{Revision: 1}
 	var nodes []*bronzemast.Node
 	for i := range nodeCount {
-		nodeAddresses := addresses[i*addressesPerNode:]
-		text := fmt.Sprintf(settingsTemplate, fmt.Sprintf("renewals-%d", i+1), nodeAddresses[0], nodeAddresses[1], targetAddress, platformURL, nodeAddresses[2])
+		ip, err := loopback.FreeHost(callPort, peerPort, operatorPort)
+		g.Expect(err).NotTo(HaveOccurred())
+		at := func(port uint16) string { return netip.AddrPortFrom(ip, port).String() }
+		text := fmt.Sprintf(settingsTemplate, fmt.Sprintf("renewals-%d", i+1), at(callPort), at(peerPort), targetAddress, platformURL, at(operatorPort))
 		settings, err := kernel.ParseSettings("settings", []byte(text))
 		g.Expect(err).NotTo(HaveOccurred())
 		log, err := kernel.NewEventLog(settings, io.Discard)
--- a/internal/callbench/fleet.go
+++ b/internal/callbench/fleet.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"time"
 
 	"github.com/bronzemast/bronzemast/config"
 	"github.com/bronzemast/bronzemast/internal/invariant"
+	"github.com/bronzemast/bronzemast/internal/loopback"
 	"github.com/bronzemast/bronzemast/internal/procfleet"
 	"github.com/bronzemast/bronzemast/internal/standin/platform"
 	"github.com/bronzemast/bronzemast/internal/standin/target"
@@ -22,6 +24,7 @@
 	nodeCount            = 6
 	slotsPerTarget       = 10
 	connectionsPerTarget = 100
+	targetPort           = 8000
 	deepService          = "chain"
 	stoppedService       = "broken"
 	mainService          = "work"
@@ -154,14 +157,10 @@
 	return procfleet.Build(f.dir)
 }
 
-// freeAddress returns a loopback address whose port was free when it was called.
+// freeAddress returns a loopback address at which nothing listens.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free address")
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	ip, err := loopback.FreeHost(targetPort)
+	return netip.AddrPortFrom(ip, targetPort).String(), err
 }
 
 // startTarget starts the target of a host, or restarts it after it was stopped.
--- a/internal/procfleet/fleet.go
+++ b/internal/procfleet/fleet.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"sort"
 
+	"github.com/bronzemast/bronzemast/internal/loopback"
 	"github.com/bronzemast/bronzemast/internal/relay"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
@@ -72,7 +73,7 @@
 // Fleet is a set of node processes.
 type Fleet struct {
 	options Options
-	subnet  Subnet
+	subnet  loopback.Subnet
 	relay   *relay.Relay
 	procs   []*Proc
 }
@@ -107,10 +108,10 @@
 // New prepares a fleet: it selects a free subnet, starts the relay if the options ask for
 // one, and writes the settings files. It starts no process.
 func New(o Options) (*Fleet, error) {
-	if len(o.Hosts) == 0 || len(o.Hosts) > maxHosts {
-		return nil, errors.Errorf("number of hosts must be between 1 and %d, got %d", maxHosts, len(o.Hosts))
+	if len(o.Hosts) == 0 || len(o.Hosts) > loopback.MaxHosts {
+		return nil, errors.Errorf("number of hosts must be between 1 and %d, got %d", loopback.MaxHosts, len(o.Hosts))
 	}
-	freeSubnet, err := FreeSubnet(callPort, peerPort, operatorPort)
+	freeSubnet, err := loopback.FreeSubnet(callPort, peerPort, operatorPort)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/bronzemast/bronzemast/internal/loopback"
 	. "github.com/onsi/gomega"
 )
 
@@ -30,17 +31,18 @@
 	return listener.Addr().String()
 }
 
+const relayPort = 7001
+
 // newEchoRelay returns a relay in front of an echo server and the address of the relay.
 func newEchoRelay(t *testing.T) (*Relay, string) {
 	t.Helper()
 	r := New()
 	t.Cleanup(r.Close)
-	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	ip, err := loopback.FreeHost(relayPort)
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := probe.Addr().String()
-	_ = probe.Close()
+	address := netip.AddrPortFrom(ip, relayPort).String()
 	if err := r.Add("b", netip.MustParseAddr("127.0.0.9"), address, echoServer(t)); err != nil {
 		t.Fatal(err)
 	}
--- a/plugins/distribution/loopback_test.go
+++ b/plugins/distribution/loopback_test.go
@@ -4,9 +4,8 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
+	"net/netip"
 	"sort"
 	"strings"
 	"sync"
@@ -15,6 +14,7 @@
 
 	"github.com/bronzemast/bronzemast/config"
 	"github.com/bronzemast/bronzemast/event"
+	"github.com/bronzemast/bronzemast/internal/loopback"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
 	_ "github.com/bronzemast/bronzemast/plugins/transport"
@@ -372,14 +372,15 @@
 func newLoopbackFleet(t testing.TB, size int) *loopbackFleet {
 	fleet := &loopbackFleet{t: t, g: NewWithT(t), platform: newPlatform()}
 	list := &model.HostList{Revision: 1}
-	prefix := freePrefix(fleet.g)
+	subnet, err := loopback.FreeSubnet(testPort)
+	fleet.g.Expect(err).NotTo(HaveOccurred())
 	for i := range size {
 		host := model.Host{
 			ID:          model.HostID(fmt.Sprintf("%s-%02d", hostPrefix(t), i)),
 			Region:      fmt.Sprintf("region-%d", i%2),
 			Domain:      fmt.Sprintf("domain-%d", i%4),
-			CallAddress: fmt.Sprintf("%s%d:0", prefix, i+1),
-			PeerAddress: fmt.Sprintf("%s%d:%d", prefix, i+1, testPort),
+			CallAddress: netip.AddrPortFrom(subnet.Host(i), 0).String(),
+			PeerAddress: netip.AddrPortFrom(subnet.Host(i), testPort).String(),
 		}
 		list.Hosts = append(list.Hosts, host)
 		fleet.nodes = append(fleet.nodes, &testNode{host: host, fleetName: testFleet, settings: fastSettings})
@@ -399,27 +400,7 @@
 	return prefix
 }
 
-const (
-	// testPort is below the ephemeral port range, so that no outgoing connection
-	// occupies it.
-	testPort = 9107
-	// prefixTries bounds the search for unused addresses.
-	prefixTries = 50
-)
-
-// freePrefix returns the prefix of loopback addresses that no other test uses.
-func freePrefix(g *WithT) string {
-	for range prefixTries {
-		prefix := fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), rand.IntN(256))
-		l, err := net.Listen("tcp", fmt.Sprintf("%s1:%d", prefix, testPort))
-		if err == nil {
-			_ = l.Close()
-			return prefix
-		}
-	}
-	g.Expect(prefixTries).To(BeZero(), "no free loopback addresses")
-	return ""
-}
+const testPort = 9107
 
 // start starts a node. If reading is set, it watches the platform.
 func (fleet *loopbackFleet) start(i int, reading bool) *testNode {
--- a/plugins/forwarding/mesh_test.go
+++ b/plugins/forwarding/mesh_test.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"hash/crc32"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -24,6 +22,7 @@
 
 	"github.com/bronzemast/bronzemast/config"
 	"github.com/bronzemast/bronzemast/event"
+	"github.com/bronzemast/bronzemast/internal/loopback"
 	"github.com/bronzemast/bronzemast/internal/relay"
 	standin "github.com/bronzemast/bronzemast/internal/standin/target"
 	"github.com/bronzemast/bronzemast/kernel"
@@ -313,27 +312,16 @@
 	testRelayPort = 7002
 )
 
-// freeIP returns a loopback address on which no other test listens.
-func freeIP(t testing.TB) string {
-	for range 100 {
-		ip := fmt.Sprintf("127.%d.%d.%d", 100+rand.IntN(100), rand.IntN(256), 1+rand.IntN(250))
-		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, testCallPort))
-		if err == nil {
-			_ = l.Close()
-			return ip
-		}
-	}
-	t.Fatal("no free loopback address")
-	return ""
-}
-
 // add starts a node, with a test target if service is set.
 func (m *mesh) add(id model.HostID, service string) *node {
-	ip := freeIP(m.t)
+	ip, err := loopback.FreeHost(testCallPort, testPeerPort, testRelayPort)
+	if err != nil {
+		m.t.Fatal(err)
+	}
 	n := &node{host: model.Host{
 		ID: id, Region: "east", Domain: "east-1", Service: service,
-		CallAddress: fmt.Sprintf("%s:%d", ip, testCallPort),
-		PeerAddress: fmt.Sprintf("%s:%d", ip, testPeerPort),
+		CallAddress: netip.AddrPortFrom(ip, testCallPort).String(),
+		PeerAddress: netip.AddrPortFrom(ip, testPeerPort).String(),
 	}}
 	if service != "" {
 		var err error
--- a/plugins/transport/transport_test.go
+++ b/plugins/transport/transport_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"testing"
@@ -21,6 +22,7 @@
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/finding"
 	"github.com/bronzemast/bronzemast/internal/jsonc"
+	"github.com/bronzemast/bronzemast/internal/loopback"
 	"github.com/bronzemast/bronzemast/keys"
 	"github.com/bronzemast/bronzemast/model"
 )
@@ -63,12 +65,19 @@
 	return authority
 }
 
-// freeAddress returns an address on which nothing listens.
-func freeAddress(g *WithT) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+const (
+	testCallPort = 7000
+	testPeerPort = 7001
+)
+
+// newTestHost returns a host at an address where nothing listens.
+func newTestHost(g *WithT) model.Host {
+	ip, err := loopback.FreeHost(testCallPort, testPeerPort)
 	g.Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
+	return model.Host{
+		CallAddress: netip.AddrPortFrom(ip, testCallPort).String(),
+		PeerAddress: netip.AddrPortFrom(ip, testPeerPort).String(),
+	}
 }
 
 // newTestTransport returns a transport without a kernel.
@@ -84,7 +93,7 @@
 // startServer starts a transport that responds with the peer's identity at /who.
 func startServer(t *testing.T, g *WithT, keys KeySettings) *Transport {
 	s := newTestTransport()
-	s.host = model.Host{CallAddress: freeAddress(g), PeerAddress: freeAddress(g)}
+	s.host = newTestHost(g)
 	s.settings.PeerKeys = keys
 	var findings finding.List
 	s.Validate(&findings)
