The property of copies draws restores of the store as well

The reference store of the property now restores itself to any earlier revision and numbers what follows anew; the copy must equal the store at its position (era and revision, with its data), and positions never go back. It replaces the check of revisions alone.

--- a/plugins/replica/copy_test.go
+++ b/plugins/replica/copy_test.go
@@ -1,8 +1,10 @@
 package replica
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -19,80 +21,122 @@
 
 // modelStore is a reference model of the store that keeps its whole history.
 type modelStore struct {
-	revision uint64
-	held     map[string]model.Item
-	changes  []model.Item
+	era     uint64
+	changes []model.Item
 }
 
+// position returns the position of the last change.
+func (s *modelStore) position() model.Position {
+	return model.Position{Era: s.era, Revision: uint64(len(s.changes))}
+}
+
+// next returns the position of the next change.
+func (s *modelStore) next() model.Position {
+	return model.Position{Era: s.era, Revision: uint64(len(s.changes)) + 1}
+}
+
+// put writes an item whose data differs from that of all other writes, also from those at
+// the same revision of another era.
 func (s *modelStore) put(key string) {
-	s.revision++
-	item := model.Item{Key: key, Position: at(s.revision), Data: []byte(fmt.Sprint(s.revision))}
-	s.held[key] = item
-	s.changes = append(s.changes, item)
+	s.changes = append(s.changes, model.Item{Key: key, Position: s.next(), Data: []byte(s.next().String())})
 }
 
 func (s *modelStore) remove(key string) {
-	if _, ok := s.held[key]; !ok {
-		return
+	if _, ok := s.held()[key]; ok {
+		s.changes = append(s.changes, model.Item{Key: key, Position: s.next(), Removed: true})
 	}
-	s.revision++
-	delete(s.held, key)
-	s.changes = append(s.changes, model.Item{Key: key, Position: at(s.revision), Removed: true})
 }
 
-func (s *modelStore) list() []model.Item {
-	var items []model.Item
-	for _, item := range s.held {
-		items = append(items, item)
+// restore starts a new era without the last writes.
+func (s *modelStore) restore(lost int) {
+	s.era++
+	kept := slices.Clone(s.changes[:max(len(s.changes)-lost, 0)])
+	for i := range kept {
+		kept[i].Position.Era = s.era
+	}
+	s.changes = kept
+}
+
+// held returns the items that the store holds, by key.
+func (s *modelStore) held() map[string]model.Item {
+	held := map[string]model.Item{}
+	for _, change := range s.changes {
+		if held[change.Key] = change; change.Removed {
+			delete(held, change.Key)
+		}
+	}
+	return held
+}
+
+func (s *modelStore) list() []model.Item { return slices.Collect(maps.Values(s.held())) }
+
+// watch lets a copy apply the changes after its position, as far as the store has it.
+func (s *modelStore) watch(c *storeCopy) {
+	if c.position.IsZero() || c.position.Era == s.era {
+		c.apply(s.changes[c.position.Revision:], s.position())
+	}
+}
+
+// follow lets a copy take the changes that a peer's copy has.
+func follow(c, peer *storeCopy) {
+	items, complete := peer.since(c.position)
+	switch {
+	case !complete:
+		c.applyFromPeer(items, peer.position, peer.gap)
+	case !peer.position.Before(c.position):
+		c.replace(items, peer.position)
 	}
-	return items
 }
 
 // Property: after any sequence of watches, lists and responses of peers, late and repeated
-// ones included, a copy equals the store as of the copy's revision.
-func TestCopyEqualsStoreAtItsRevision(t *testing.T) {
+// ones and those of an earlier era included, a copy equals the store as of the copy's position,
+// which never goes back.
+func TestCopyEqualsStoreAtItsPosition(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		store := &modelStore{held: map[string]model.Item{}}
-		past := map[uint64]map[string]model.Item{0: {}}
+		store := &modelStore{era: testEra}
+		past := map[model.Position]map[string]model.Item{{}: {}}
 		copies := []*storeCopy{newCopy(), newCopy(), newCopy()}
 		key := rapid.SampledFrom([]string{"a", "b", "c", "d"})
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			c := copies[rapid.IntRange(0, 2).Draw(t, "copy")]
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			before := c.position
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0, 1:
 				store.put(key.Draw(t, "key"))
 			case 2:
 				store.remove(key.Draw(t, "key"))
 			case 3:
-				c.apply(store.changes[min(int(c.position.Revision), len(store.changes)):], at(store.revision))
+				store.watch(c)
 			case 4:
-				if store.revision >= c.position.Revision {
-					c.replace(store.list(), at(store.revision))
-				}
+				c.replace(store.list(), store.position())
 			case 5:
-				peer := copies[rapid.IntRange(0, 2).Draw(t, "peer")]
-				items, complete := peer.since(c.position)
-				if complete && !peer.position.Before(c.position) {
-					c.replace(items, peer.position)
-				} else if !complete {
-					c.applyFromPeer(items, peer.position, peer.gap)
-				}
+				follow(c, copies[rapid.IntRange(0, 2).Draw(t, "peer")])
+			case 6:
+				store.restore(rapid.IntRange(0, 5).Draw(t, "lost"))
+			}
+			past[store.position()] = store.held()
+			if c.position.Era < before.Era || c.position.Era == before.Era && c.position.Revision < before.Revision {
+				t.Fatalf("the copy goes back from %s to %s", before, c.position)
 			}
-			past[store.revision] = maps.Clone(store.held)
 			for _, c := range copies {
-				if len(c.items) != len(past[c.position.Revision]) {
-					t.Fatalf("revision %s: the copy holds %v, the store held %v", c.position, c.items, past[c.position.Revision])
-				}
-				for key, item := range past[c.position.Revision] {
-					if c.items[key].Position != item.Position {
-						t.Fatalf("revision %s: %s is of revision %s, not %s", c.position, key, c.items[key].Position, item.Position)
-					}
-				}
+				checkCopy(t, c, past[c.position])
 			}
 		}
 	})
 }
 
+// checkCopy checks that a copy holds the given items.
+func checkCopy(t *rapid.T, c *storeCopy, want map[string]model.Item) {
+	if len(c.items) != len(want) {
+		t.Fatalf("position %s: the copy holds %v, the store held %v", c.position, c.items, want)
+	}
+	for key, item := range want {
+		if held := c.items[key]; held.Position != item.Position || !bytes.Equal(held.Data, item.Data) {
+			t.Fatalf("position %s: %s is %s of %s, not %s of %s", c.position, key, held.Data, held.Position, item.Data, item.Position)
+		}
+	}
+}
+
 // The second copy skipped, by a list, the revisions in which item d was added and removed,
 // and the first copy got its changes from the second. The first copy must take over that
 // gap and send the third copy everything, or d would stay there.
