--- a/internal/convergebench/monitor.go
+++ b/internal/convergebench/monitor.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzemast/bronzemast/internal/clock"
 	"github.com/bronzemast/bronzemast/internal/invariant"
 	"github.com/bronzemast/bronzemast/internal/procfleet"
 	"github.com/bronzemast/bronzemast/model"
@@ -50,7 +51,7 @@
 func (m *monitor) poll(ctx context.Context, p *procfleet.Proc) {
 	for ctx.Err() == nil {
 		m.pollStatus(p)
-		sleep(ctx, pollInterval)
+		clock.Sleep(ctx, pollInterval)
 	}
 }
 
@@ -101,12 +102,3 @@
 	}
 	return first, found
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/convergebench/run.go
+++ b/internal/convergebench/run.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/config"
+	"github.com/bronzemast/bronzemast/internal/clock"
 	"github.com/bronzemast/bronzemast/internal/invariant"
 	"github.com/bronzemast/bronzemast/internal/procfleet"
 	"github.com/bronzemast/bronzemast/internal/standin/platform"
@@ -131,8 +132,8 @@
 	for _, p := range r.procs {
 		r.checker.Reachable(p.Host.ID, time.Now())
 	}
-	sleep(ctx, r.options.WarmUp)
-	result.Idle = r.measureUsage(func() error { sleep(ctx, r.options.Idle); return nil }, &result.err)
+	clock.Sleep(ctx, r.options.WarmUp)
+	result.Idle = r.measureUsage(func() error { clock.Sleep(ctx, r.options.Idle); return nil }, &result.err)
 
 	polling, stop := context.WithCancel(ctx)
 	r.monitor.run(polling, r.procs)
@@ -187,7 +188,7 @@
 				return err
 			}
 		}
-		sleep(ctx, meanChangeInterval/2+time.Duration(r.random.Int64N(int64(meanChangeInterval))))
+		clock.Sleep(ctx, meanChangeInterval/2+time.Duration(r.random.Int64N(int64(meanChangeInterval))))
 	}
 	return nil
 }
@@ -273,7 +274,7 @@
 	deadline := time.Now().Add(inForceTimeout)
 	waiting := func(p *procfleet.Proc) bool { return !r.monitor.inForce(p.Host.ID, number) }
 	for time.Now().Before(deadline) && ctx.Err() == nil && slices.ContainsFunc(hosts, waiting) {
-		sleep(ctx, pollInterval/2)
+		clock.Sleep(ctx, pollInterval/2)
 	}
 	var durations []time.Duration
 	for _, p := range hosts {
@@ -325,7 +326,7 @@
 	deadline := time.Now().Add(inForceTimeout)
 	for _, p := range procs {
 		for !r.monitor.inForce(p.Host.ID, r.last.Record.Number) && time.Now().Before(deadline) && ctx.Err() == nil {
-			sleep(ctx, pollInterval/2)
+			clock.Sleep(ctx, pollInterval/2)
 		}
 	}
 	r.stats.catchUps = append(r.stats.catchUps, time.Since(startTime))
@@ -357,7 +358,7 @@
 			if ctx.Err() != nil {
 				return errors.Errorf("host %s is not ready: %s", p.Host.ID, p.Log())
 			}
-			sleep(ctx, pollInterval/2)
+			clock.Sleep(ctx, pollInterval/2)
 		}
 	}
 	return nil
--- a/internal/jsonc/duration.go
+++ b/internal/jsonc/duration.go
@@ -1,10 +1,10 @@
 package jsonc
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/segmentio/encoding/json"
 )
 
 // Duration is a time.Duration that is encoded as a string such as "1.5s" or "200ms".
--- a/plugins/draining/drainer.go
+++ b/plugins/draining/drainer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/event"
+	"github.com/bronzemast/bronzemast/internal/clock"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/sirupsen/logrus"
@@ -163,7 +164,7 @@
 	_ = d.hooks.At(ctx, kernel.HookNotifyLeaving) // a fault may only delay the notice; new calls are already rejected
 	d.fleet.Announce(model.MemberLeaving)
 	if d.serving.Load() {
-		sleep(ctx, d.settings.Linger.Std())
+		clock.Sleep(ctx, d.settings.Linger.Std())
 	}
 	d.advance(model.StageFinishing, cause)
 	_ = d.hooks.At(ctx, kernel.HookFinish) // a fault may delay the wait but not skip it
@@ -198,12 +199,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
