The soak plays an upgrade: two versions of the program in one fleet

--older-node-binary names an earlier program. Every second host starts with it and each planned restart changes the version. That two versions work beside each other was reasoned only, not run.

--- a/cmd/bronzemast-bench/soak.go
+++ b/cmd/bronzemast-bench/soak.go
@@ -20,6 +20,7 @@
 	Duration time.Duration `long:"duration" default:"15s" description:"length of the fault phase of each run"`
 	Planned  bool          `long:"planned" description:"no faults, only graceful stops, reloads and changes of configurations and workers"`
 	Binary   string        `long:"node-binary" description:"bronzemast-node program; built from the module if not given"`
+	Older    string        `long:"older-node-binary" description:"earlier version of the bronzemast-node program, which every second host starts with; planned restarts change the version"`
 	Logs     string        `long:"logs" description:"directory for settings and logs, with a subdirectory for each seed; by default a temporary directory that is removed after the run"`
 	JSON     bool          `long:"json" description:"print the results as JSON"`
 }
@@ -49,7 +50,7 @@
 	}
 	failed := 0
 	for i := range c.Runs {
-		o := soak.Options{Seed: c.Seed + uint64(i), Hosts: c.Hosts, Duration: c.Duration, Binary: c.Binary, PlannedOnly: c.Planned}
+		o := soak.Options{Seed: c.Seed + uint64(i), Hosts: c.Hosts, Duration: c.Duration, Binary: c.Binary, OlderBinary: c.Older, PlannedOnly: c.Planned}
 		if c.Logs != "" {
 			o.Dir = filepath.Join(c.Logs, fmt.Sprintf("seed-%d", o.Seed))
 			if err := os.MkdirAll(o.Dir, 0o700); err != nil {
--- a/internal/procfleet/proc.go
+++ b/internal/procfleet/proc.go
@@ -31,11 +31,11 @@
 	// OperatorAddress is the operator address, empty if there is none.
 	OperatorAddress string
 
-	binary       string
 	settingsFile string
 	logFile      string
 
 	mu      sync.Mutex
+	binary  string
 	command *exec.Cmd
 	// ended is closed when the process of command has ended; nil before the first start.
 	ended chan struct{}
@@ -49,6 +49,13 @@
 	return &Proc{Host: host, binary: binary, settingsFile: settingsFile, logFile: logFile}
 }
 
+// SetBinary sets the program that the next start runs.
+func (p *Proc) SetBinary(path string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.binary = path
+}
+
 // Start starts the process. Its log is appended to that of the previous processes. It
 // returns an error if a process is running.
 func (p *Proc) Start() error {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -78,6 +78,7 @@
 	case kindStop:
 		_ = h.Terminate()
 		r.awaitExit(h)
+		r.changeVersion(h)
 	}
 	r.restart(h)
 }
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -20,6 +20,10 @@
 	// Binary is the path of the node program; the program is built if it is empty. Dir is
 	// the directory of settings and logs; a temporary one is used if it is empty.
 	Binary, Dir string
+	// OlderBinary is the path of an earlier version of the node program. If it is set, every
+	// second host starts with it, each planned restart changes the version, and the events
+	// whose promises an earlier version need not know are left out.
+	OlderBinary string
 	// PlannedOnly restricts events to planned work: graceful stops, SIGHUP, and changes of
 	// configurations and workers.
 	PlannedOnly bool
--- a/internal/soak/runner.go
+++ b/internal/soak/runner.go
@@ -49,6 +49,9 @@
 	starts atomic.Int32
 	// admitting is set while readiness probes succeed, so that callers may send.
 	admitting atomic.Bool
+	// older is set while the host runs the older version of the program. It is guarded by
+	// processMu.
+	older bool
 }
 
 // linkFault is a network fault between hosts, or between a host and the store.
@@ -72,9 +75,26 @@
 	for _, h := range fleet.Hosts {
 		r.hosts = append(r.hosts, &host{Host: h})
 	}
+	for i := 1; i < len(r.hosts); i += 2 {
+		r.changeVersion(r.hosts[i])
+	}
 	return r, nil
 }
 
+// changeVersion lets the next start of a host run the other version of the program, if there
+// are two. The caller holds processMu, or no event has started.
+func (r *runner) changeVersion(h *host) {
+	if r.options.OlderBinary == "" {
+		return
+	}
+	h.older = !h.older
+	binary := r.options.Binary
+	if h.older {
+		binary = r.options.OlderBinary
+	}
+	h.SetBinary(binary)
+}
+
 // start starts the workers and nodes, publishes the first configuration and waits until
 // all nodes are ready.
 func (r *runner) start(ctx context.Context) error {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -132,7 +132,7 @@
 			e.host = (e.host + random.IntN(2)) % o.Hosts
 		}
 	}
-	if !o.PlannedOnly {
+	if !o.PlannedOnly && o.OlderBinary == "" {
 		events = append(events, laterEvents(o)...)
 	}
 	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.offset, b.offset) })
