Placement takes the delay of the node beside a target into account

An attempt that ended without an answer changed no estimate, and the round trip of late answers enters the estimate by a tenth of at most three times its value: with few requests from each of 61 entries it never grew. Change: the delay of the latest attempt beyond the usual round trip adds to the expected latency and is halved each second; an attempt that gets no answer counts as one that is late by its time.

--- a/plugins/sidecar/targetreport.go
+++ b/plugins/sidecar/targetreport.go
@@ -28,6 +28,7 @@
 		if a.Outcome == model.OutcomeNotRun || a.Reason == model.ReasonPeerLost {
 			r.peer.recordFailure(now)
 		}
+		r.recordUnanswered(took-s.meanRunTime(route, c.route.Objective), now)
 		return
 	}
 	r.peer.recordAnswer()
@@ -49,10 +50,19 @@
 	}
 	r.estimatedAt = now
 	if a.TimeAtNode > 0 && roundTrip > 0 && t.Address.Addr() != s.self {
+		r.lag, r.lagAt = max(roundTrip-r.roundTrip, 0), now
 		r.updateRoundTrip(roundTrip)
 	}
 }
 
+// recordUnanswered records that the node beside the target has not answered for a time beyond
+// the expected one. That time is only a lower bound of the lag.
+func (r *targetRecord) recordUnanswered(overdue time.Duration, now time.Time) {
+	if overdue > time.Duration(float64(r.lag)*decay(now.Sub(r.lagAt), lagHalfLife)) {
+		r.lag, r.lagAt = overdue, now
+	}
+}
+
 // updateRoundTrip updates the round-trip time by a sample. Outliers, such as those caused by
 // a paused process, are clipped.
 func (r *targetRecord) updateRoundTrip(sample time.Duration) {
--- a/plugins/sidecar/targetstats.go
+++ b/plugins/sidecar/targetstats.go
@@ -47,6 +47,10 @@
 	relativeRunTime float64
 	roundTrip       time.Duration
 	estimatedAt     time.Time
+	// lag is the time beyond roundTrip that the node beside the target, or the way to it,
+	// took for the latest attempt, as of lagAt.
+	lag   time.Duration
+	lagAt time.Time
 	// peer tracks whether the node beside the target answers.
 	peer reachability
 	// cooldownUntil is the end of the target's cooldown, which starts when its peer can't
@@ -88,6 +92,7 @@
 	slowdownHalfLife = 3 * time.Second
 	failureHalfLife  = 5 * time.Second
 	estimateHalfLife = 10 * time.Second
+	lagHalfLife      = time.Second
 	// coldRunTimeFactor is the least relative run time assumed during a cold start.
 	coldRunTimeFactor = 2
 	// initialRoundTrip is the round-trip time assumed until a target has answered.
@@ -262,7 +267,7 @@
 		Slots:              t.Slots,
 		RunTime:            time.Duration(float64(runTime) * factor),
 		ObjectiveRemaining: objectiveRemaining,
-		RoundTrip:          time.Duration(float64(r.roundTrip) * estimateWeight),
+		RoundTrip:          time.Duration(float64(r.roundTrip)*estimateWeight + float64(r.lag)*decay(now.Sub(r.lagAt), lagHalfLife)),
 		FailureRate:        r.load.FailureRate * decay(now.Sub(r.loadAt), failureHalfLife),
 		Throttled:          r.share.Until(1, now) > 0,
 		Unavailable:        now.Before(r.cooldownUntil) || r.load.Leaving && now.Sub(r.loadAt) < leavingCooldown,
--- a/plugins/sidecar/targetstats_test.go
+++ b/plugins/sidecar/targetstats_test.go
@@ -243,6 +243,56 @@
 	g.Expect(stats.chosen(begin, congested, busy, full)).To(Equal(map[model.TargetID]int{busy.ID: 100}))
 }
 
+// unanswered returns the end of an attempt whose caller's deadline passed without an answer.
+func unanswered() *answer {
+	return &answer{result: result{Outcome: model.OutcomeUnknown, Reason: model.ReasonDeadline, ReachedTarget: true}}
+}
+
+func TestNodeThatAnsweredLateIsAvoidedForAMoment(t *testing.T) {
+	for name, end := range map[string]*answer{"late": answered(100 * time.Millisecond), "unanswered": unanswered()} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			stats := newTestStats()
+			late, other := targetAt(1), targetAt(2)
+			stats.recordRuns(late, 100*time.Millisecond, time.Millisecond, begin)
+			stats.recordRuns(other, 100*time.Millisecond, time.Millisecond, begin)
+			stats.attemptStarted(late, begin)
+			stats.attemptEnded(late, statsCall, end, time.Second, begin)
+			g.Expect(stats.chosen(begin, late, other)[late.ID]).To(BeZero())
+			g.Expect(stats.chosen(begin.Add(10*time.Second), late, other)[late.ID]).To(BeNumerically(">=", 40))
+		})
+	}
+}
+
+// All targets of a service are full, and the node beside the one with the shortest queue is so
+// busy that it does not answer before the callers' deadlines. Its last report stays the best
+// one, so that only the missing answers tell each entry node.
+func TestBusyNodeDoesNotAttractTheRequestsOfAFullService(t *testing.T) {
+	g := NewWithT(t)
+	const (
+		nodes    = 60
+		requests = 20 // of each node
+		interval = 500 * time.Millisecond
+	)
+	busy, full, other := targetAt(1), targetAt(2), targetAt(3)
+	sent := 0
+	for range nodes {
+		stats := newTestStats()
+		stats.reportLoad(busy, 11, begin)
+		for i := range requests {
+			now := begin.Add(time.Duration(i) * interval)
+			stats.reportLoad(full, 15, now)
+			stats.reportLoad(other, 16, now)
+			if stats.choose(statsCall, []*model.Target{busy, full, other}, 0, now).target == busy {
+				sent++
+				stats.attemptStarted(busy, now)
+				stats.attemptEnded(busy, statsCall, unanswered(), interval, now.Add(interval))
+			}
+		}
+	}
+	g.Expect(sent).To(BeNumerically("<=", 2*nodes), "each node finds out by one request, and may try once more")
+}
+
 // Attempts at full targets continue while rejections are quick. If the nodes are so busy that
 // rejections take long, the caller is rejected without further attempts.
 func TestNoFurtherAttemptOnceRejectionsHaveTakenLong(t *testing.T) {
