Callers that keep sending do not prolong a drain

Cause: requests that a leaving node rejects counted as in flight, and their ends as activity. Change: rejected requests do not keep a node from being done.

--- a/plugins/sidecar/drain.go
+++ b/plugins/sidecar/drain.go
@@ -19,7 +19,7 @@
 	mu        sync.Mutex
 	startedAt time.Time
 	inFlight  int
-	// lastEnded is when a request last ended.
+	// lastEnded is when a request that was not rejected last ended.
 	lastEnded time.Time
 }
 
@@ -39,11 +39,15 @@
 	d.inFlight++
 }
 
-func (d *drain) requestEnded() {
+// requestEnded records the end of a request. Those that were rejected don't prolong the drain,
+// since callers may go on sending until the process is gone.
+func (d *drain) requestEnded(rejected bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.inFlight--
-	d.lastEnded = time.Now()
+	if !rejected {
+		d.lastEnded = time.Now()
+	}
 }
 
 func (d *drain) start() {
@@ -95,7 +99,8 @@
 	d.log.Emit(eventDrain, event.Fields{"stage": stage, "in_flight": inFlight})
 }
 
-// idle reports whether no request has been in flight for drainIdleTime.
+// idle reports whether no request is in flight, and for drainIdleTime none was but those that
+// were rejected.
 func (d *drain) idle() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -72,12 +72,14 @@
 // ServeHTTP forwards a caller's request to a target and writes the answer.
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.drain.requestStarted()
-	defer e.drain.requestEnded()
+	rejected := false
+	defer func() { e.drain.requestEnded(rejected) }()
 	if e.drain.draining() {
 		w.Header()["Connection"] = []string{"close"}
 	}
 	c, reply := e.accept(r)
 	if reply != nil {
+		rejected = true
 		status := e.writeLocalReply(w, reply)
 		e.tracer.rejected(r, reply, status, e.configuration(), e.replica.Position())
 		return
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -270,7 +270,8 @@
 // ServeHTTP serves requests from other nodes.
 func (s *targetSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.drain.requestStarted()
-	defer s.drain.requestEnded()
+	rejected := false
+	defer func() { s.drain.requestEnded(rejected) }()
 	h, err := decodeHandover(r.Header)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -286,6 +287,7 @@
 	}
 	a := s.handle(r.Context(), h, forwardedHeaders(r.Header), body)
 	defer a.close()
+	rejected = a.Reason == model.ReasonDraining
 	a.Version = handoverVersion
 	position := s.replica.Position()
 	a.Revision = position.Revision
