--- a/event/event.go
+++ b/event/event.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"sort"
 	"sync"
 
@@ -76,6 +77,13 @@
 	return &Log{entry: entry}
 }
 
+// NewDiscardLog returns a Log that writes nothing. Its observers are called.
+func NewDiscardLog() *Log {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return NewLog(logrus.NewEntry(logger))
+}
+
 // Emit logs e with fields and its number as the field "event", then calls the
 // observers.
 func (l *Log) Emit(e *Event, fields Fields) {
--- a/plugins/admission/admission_test.go
+++ b/plugins/admission/admission_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"sync"
@@ -19,7 +18,6 @@
 	_ "github.com/bronzemast/bronzemast/plugins/operator"   // required
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 )
 
@@ -73,8 +71,6 @@
 
 func newTestKernel(t testing.TB, section string) (*kernel.Kernel, error) {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	return kernel.New(&kernel.Settings{
 		Fleet: "test",
 		Host:  model.Host{ID: "h1", Region: "r", Domain: "d", Service: "records"},
@@ -82,7 +78,7 @@
 			"operator":  kernel.NewSection(`{"address": "127.0.0.1:0"}`),
 			"admission": kernel.NewSection(section),
 		},
-	}, event.NewLog(logrus.NewEntry(logger)))
+	}, event.NewDiscardLog())
 }
 
 func startAdmission(t testing.TB, section string) (*Admission, *kernel.Kernel) {
--- a/plugins/burn/burn_test.go
+++ b/plugins/burn/burn_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -17,7 +16,6 @@
 	"github.com/bronzemast/bronzemast/plugins/burn/slo"
 	_ "github.com/bronzemast/bronzemast/plugins/operator" // required
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 )
@@ -61,9 +59,7 @@
 
 func newTestKernel(t *testing.T, section string) (*kernel.Kernel, *event.Log, error) {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	log := event.NewLog(logrus.NewEntry(logger))
+	log := event.NewDiscardLog()
 	k, err := kernel.New(&kernel.Settings{
 		Fleet: "test",
 		Host:  model.Host{ID: "h1", Region: "r", Domain: "d"},
--- a/plugins/distribution/loopback_test.go
+++ b/plugins/distribution/loopback_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"sort"
@@ -19,7 +18,6 @@
 	"github.com/bronzemast/bronzemast/model"
 	_ "github.com/bronzemast/bronzemast/plugins/transport"
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
 )
 
 const testFleet = "test"
@@ -416,13 +414,11 @@
 	fakesMu.Lock()
 	fakesOf[n.host.ID] = n.fakes
 	fakesMu.Unlock()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	k, err := kernel.New(&kernel.Settings{
 		Fleet:   n.fleetName,
 		Host:    n.host,
 		Plugins: map[string]*kernel.Section{"distribution": kernel.NewSection(n.settings)},
-	}, event.NewLog(logger.WithField("host", n.host.ID)))
+	}, event.NewDiscardLog())
 	fleet.g.Expect(err).NotTo(HaveOccurred())
 	n.kernel = k
 	n.configuration, _ = kernel.Value[model.Configuration](k)
--- a/plugins/draining/draining_test.go
+++ b/plugins/draining/draining_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -11,7 +10,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
 
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/kernel"
@@ -66,12 +64,10 @@
 }
 
 func startNode(t *testing.T, settings string) *testNode {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	k, err := kernel.New(&kernel.Settings{
 		Host:    model.Host{ID: "self"},
 		Plugins: map[string]*kernel.Section{"draining": kernel.NewSection(settings)},
-	}, event.NewLog(logrus.NewEntry(logger)))
+	}, event.NewDiscardLog())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/plugins/forwarding/failure_test.go
+++ b/plugins/forwarding/failure_test.go
@@ -98,6 +98,14 @@
 	g.Expect(targetNode.target.ExecutionLog().Started("x")).To(Equal(1))
 }
 
+// newTargetMesh starts a mesh of one node beside a target. It returns a hop for the first
+// attempt at it.
+func newTargetMesh(t *testing.T) (*mesh, *node, hop) {
+	m := newMesh(t)
+	targetNode := m.add("b", testService)
+	return m, targetNode, rawHop(m, targetNode, 1)
+}
+
 // rawHop returns the hop of an attempt with a token fetched from the node.
 func rawHop(m *mesh, n *node, sequence uint64) hop {
 	p := newPeers(&plainTransport{}, time.Second).newPeer(n.host.ID, n.host.PeerAddress)
@@ -151,9 +159,7 @@
 
 func TestLateDeliveryOfAFencedAttemptDoesNotRun(t *testing.T) {
 	g := NewWithT(t)
-	m := newMesh(t)
-	targetNode := m.add("b", testService)
-	h := rawHop(m, targetNode, 1)
+	m, targetNode, h := newTargetMesh(t)
 	g.Expect(inquireHop(m, targetNode, h, false).Outcome).To(Equal(model.OutcomeNotRun))
 	late := sendHop(m, targetNode, h, "late")
 	g.Expect(late.Outcome).To(Equal(model.OutcomeNotRun))
@@ -163,9 +169,7 @@
 
 func TestDuplicateAttemptRunsOnce(t *testing.T) {
 	g := NewWithT(t)
-	m := newMesh(t)
-	targetNode := m.add("b", testService)
-	h := rawHop(m, targetNode, 1)
+	m, targetNode, h := newTargetMesh(t)
 	g.Expect(sendHop(m, targetNode, h, "x").Outcome).To(Equal(model.OutcomeRan))
 	duplicate := sendHop(m, targetNode, h, "x")
 	g.Expect(duplicate.Outcome).To(Equal(model.OutcomeUnknown))
@@ -178,9 +182,7 @@
 // and must not run.
 func TestAttemptReadAfterItsDeadlineIsNotRun(t *testing.T) {
 	g := NewWithT(t)
-	m := newMesh(t)
-	targetNode := m.add("b", testService)
-	h := rawHop(m, targetNode, 1)
+	m, targetNode, h := newTargetMesh(t)
 	h.Remaining = time.Microsecond
 	time.Sleep(5 * time.Millisecond)
 	answer := sendHop(m, targetNode, h, "x")
@@ -210,9 +212,7 @@
 
 func TestRestartedNodeReportsEarlierAttemptsAsUnknown(t *testing.T) {
 	g := NewWithT(t)
-	m := newMesh(t)
-	targetNode := m.add("b", testService)
-	h := rawHop(m, targetNode, 1)
+	m, targetNode, h := newTargetMesh(t)
 	g.Expect(sendHop(m, targetNode, h, "x").Outcome).To(Equal(model.OutcomeRan))
 	targetNode.crash()
 	m.start(targetNode)
--- a/plugins/forwarding/mesh_test.go
+++ b/plugins/forwarding/mesh_test.go
@@ -18,7 +18,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
 
 	"github.com/bronzemast/bronzemast/config"
 	"github.com/bronzemast/bronzemast/event"
@@ -364,9 +363,7 @@
 	if m.authority != nil {
 		settings.Plugins["transport"] = kernel.NewSection(m.keysOf(n.host.ID))
 	}
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	k, err := kernel.New(settings, event.NewLog(logrus.NewEntry(logger)))
+	k, err := kernel.New(settings, event.NewDiscardLog())
 	if err != nil {
 		m.t.Fatal(err)
 	}
--- a/plugins/membership/fleet_test.go
+++ b/plugins/membership/fleet_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
 	. "github.com/onsi/gomega"
@@ -51,7 +52,7 @@
 func (m *mesh) startRoster(t *testing.T, i int, incarnation model.Incarnation) {
 	r := newRoster(rosterConfig{
 		timing: testTiming, host: meshList().Hosts[i], incarnation: incarnation,
-		hooks: kernel.NewHooks(), log: discardLog(),
+		hooks: kernel.NewHooks(), log: event.NewDiscardLog(),
 	})
 	r.SetHostList(meshList())
 	r.SubscribeNotices(func(n model.Notice) { m.flood(i, n) })
--- a/plugins/membership/roster_test.go
+++ b/plugins/membership/roster_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/bronzemast/bronzemast/model"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 )
 
 func host(id string) model.Host {
@@ -24,18 +22,12 @@
 	return &model.HostList{Revision: revision, Hosts: hosts}
 }
 
-func discardLog() *event.Log {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	return event.NewLog(logrus.NewEntry(logger))
-}
-
 // testRoster returns the roster of host a with a list of the hosts a, b and c, and
 // the notices that it originates.
 func testRoster() (*roster, *[]model.Notice) {
 	r := newRoster(rosterConfig{
 		timing: testTiming, host: host("a"), incarnation: 1,
-		hooks: kernel.NewHooks(), log: discardLog(),
+		hooks: kernel.NewHooks(), log: event.NewDiscardLog(),
 	})
 	var originated []model.Notice
 	r.SubscribeNotices(func(n model.Notice) { originated = append(originated, n) })
--- a/plugins/operator/operator_test.go
+++ b/plugins/operator/operator_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"testing"
@@ -14,15 +13,12 @@
 	"github.com/bronzemast/bronzemast/model"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 )
 
 func newNode(t *testing.T, section string, options ...kernel.Option) (*kernel.Kernel, *event.Log, error) {
 	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	log := event.NewLog(logrus.NewEntry(logger))
+	log := event.NewDiscardLog()
 	settings := &kernel.Settings{
 		Fleet:   "test",
 		Host:    model.Host{ID: "h1", Region: "r", Domain: "d"},
--- a/plugins/replica/fleet_test.go
+++ b/plugins/replica/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"expvar"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,7 +13,6 @@
 
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/internal/memnet"
-	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -104,13 +102,11 @@
 
 // start starts a node that holds nothing.
 func (h *testHost) start() {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop, h.tasks = stop, &sync.WaitGroup{}
 	tasks := h.tasks
 	r := newReplica()
-	r.log = event.NewLog(logrus.NewEntry(logger))
+	r.log = event.NewDiscardLog()
 	r.metrics = newMetrics(new(expvar.Map).Init())
 	r.startTask = func(_ string, run func(context.Context)) { tasks.Go(func() { run(ctx) }) }
 	r.store = hostStore{fakeStore: h.fleet.store, host: h}
--- a/plugins/sidecar/drain_test.go
+++ b/plugins/sidecar/drain_test.go
@@ -2,24 +2,17 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
 
 	"github.com/bronzemast/bronzemast/event"
 )
 
 func newTestDrain() *drain {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	settings := &liveSettings{}
-	initial := defaults()
-	settings.Store(&initial)
-	return &drain{settings: settings, log: event.NewLog(logrus.NewEntry(logger))}
+	return &drain{settings: defaultSettings(), log: event.NewDiscardLog()}
 }
 
 // handle handles a request on a node that may be draining, as the roles of the node do.
--- a/plugins/sidecar/targetstats_test.go
+++ b/plugins/sidecar/targetstats_test.go
@@ -1,13 +1,11 @@
 package sidecar
 
 import (
-	"io"
 	"net/netip"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
 
 	"github.com/bronzemast/bronzemast/config/ingress"
 	"github.com/bronzemast/bronzemast/event"
@@ -32,13 +30,16 @@
 	}
 }
 
-func newTestStats() *targetStats {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+// defaultSettings returns settings that hold the defaults.
+func defaultSettings() *liveSettings {
 	settings := &liveSettings{}
 	initial := defaults()
 	settings.Store(&initial)
-	return newTargetStats(settings, netip.MustParseAddr("10.0.0.99"), "d", event.NewLog(logrus.NewEntry(logger)))
+	return settings
+}
+
+func newTestStats() *targetStats {
+	return newTargetStats(defaultSettings(), netip.MustParseAddr("10.0.0.99"), "d", event.NewDiscardLog())
 }
 
 // answered returns the answer of a successful run.
--- a/plugins/source/fleet_test.go
+++ b/plugins/source/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -18,7 +17,6 @@
 	"github.com/bronzemast/bronzemast/model"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 )
 
 // The size and budget of the reference fleet for which the system is designed.
@@ -190,20 +188,13 @@
 	return model.NewView(list.Revision, members)
 }
 
-func discardLog() *event.Log {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	logger.SetLevel(logrus.PanicLevel)
-	return event.NewLog(logrus.NewEntry(logger))
-}
-
 // newSimFleet returns a fleet. Its nodes have the host list from the start if
 // hostListKnown is set, and read it from the platform otherwise.
 func newSimFleet(p policy, list *model.HostList, seed uint64, hostListKnown bool, starved func(*simNode) bool) *simFleet {
 	s := &simFleet{platform: newCountingPlatform(), list: list}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	view := viewOf(list)
-	log := discardLog()
+	log := event.NewDiscardLog()
 	for i, host := range list.Hosts {
 		n := &simNode{starved: starved}
 		n.view.Store(model.NewView(0, nil))
--- a/plugins/transport/transport_test.go
+++ b/plugins/transport/transport_test.go
@@ -17,7 +17,6 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/finding"
@@ -84,9 +83,7 @@
 func newTestTransport() *Transport {
 	t := newTransport()
 	t.doc = jsonc.Absent("settings", "plugins.transport")
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	t.log = event.NewLog(logrus.NewEntry(logger))
+	t.log = event.NewDiscardLog()
 	return t
 }
 
