--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -136,11 +136,6 @@
 	adm.expected = inst.expectedRunTime(h.Route, h.Objective)
 	arrived := time.Now()
 	t := newTicket(h, adm, arrived)
-	if t == nil && adm.loadAtArrival.Running == 0 {
-		// An idle target that is estimated as too slow still gets a request, since
-		// only a run can show that it has recovered.
-		t = &slotqueue.Ticket{Rank: h.Rank, ExpectedRunTime: adm.expected, StartBy: arrived}
-	}
 	if t == nil {
 		return notRunAnswer(model.ReasonOverloaded) // another target may be faster
 	}
@@ -149,19 +144,7 @@
 	adm.waited = time.Since(arrived)
 	s.metrics.slotWait.Observe(adm.waited)
 	if !started {
-		a := notRunAnswer(inst.fullReason())
-		a.RetryAfter = retryAfter
-		a.FullFor = max(retryAfter-adm.startWithin, 0)
-		if a.Reason == model.ReasonTargetLimited {
-			a.FullFor = inst.pauseAfterRejection(h.sender, retryAfter)
-		}
-		switch {
-		case ctx.Err() != nil:
-			a.Reason = model.ReasonCanceled
-		case s.hasLeft(h):
-			a.Reason = model.ReasonDraining
-		}
-		return a
+		return s.fullAnswer(ctx, inst, h, adm, retryAfter)
 	}
 	if ctx.Err() != nil || s.hasLeft(h) {
 		inst.release(t)
@@ -176,11 +159,33 @@
 	return a
 }
 
+// fullAnswer returns the answer of a request that got no slot in time; retryAfter is the time
+// after which a slot is expected.
+func (s *targetSide) fullAnswer(ctx context.Context, inst *instance, h *handover, adm *admission, retryAfter time.Duration) *answer {
+	a := notRunAnswer(inst.fullReason())
+	a.RetryAfter = retryAfter
+	a.FullFor = max(retryAfter-adm.startWithin, 0)
+	if a.Reason == model.ReasonTargetLimited {
+		a.FullFor = inst.pauseAfterRejection(h.sender, retryAfter)
+	}
+	switch {
+	case ctx.Err() != nil:
+		a.Reason = model.ReasonCanceled
+	case s.hasLeft(h):
+		a.Reason = model.ReasonDraining
+	}
+	return a
+}
+
 // newTicket returns the queue ticket of a request, nil if less than half of the expected
-// run time remains until its deadline.
+// run time remains until its deadline. An idle target that is estimated as too slow still
+// gets the request, since only a run can show that it has recovered.
 func newTicket(h *handover, adm *admission, now time.Time) *slotqueue.Ticket {
 	if h.Remaining <= adm.expected/2 {
-		return nil
+		if adm.loadAtArrival.Running > 0 {
+			return nil
+		}
+		return &slotqueue.Ticket{Rank: h.Rank, ExpectedRunTime: adm.expected, StartBy: now}
 	}
 	t := &slotqueue.Ticket{Nested: adm.nested, Rank: h.Rank, ExpectedRunTime: adm.expected}
 	switch slack := h.ObjectiveRemaining - adm.expected; {
