--- a/internal/loopback/subnet.go
+++ b/internal/loopback/subnet.go
@@ -13,6 +13,14 @@
 )
 
 const (
+	// secondBytes is the number of values of an address's second byte, from 1 on.
+	secondBytes = 250
+	// subnetsPerSecondByte is the number of subnets whose addresses share the second byte.
+	subnetsPerSecondByte = 28
+	// blocksPerSubnet is the number of blocks for hosts in a subnet.
+	blocksPerSubnet = 4
+	// lastBytes is the number of values of the last byte that no host of a subnet has.
+	lastBytes = 50
 	// hostsPerBlock is the number of hosts that share the first three bytes of an address.
 	hostsPerBlock = 200
 	// maxAttempts bounds the search for free addresses.
@@ -21,8 +29,8 @@
 	// The third byte of a host's address is below it.
 	relayOffset = 128
 
-	// MaxHosts is the number of hosts in the four blocks of a subnet.
-	MaxHosts = 4 * hostsPerBlock
+	// MaxHosts is the number of hosts of a subnet.
+	MaxHosts = blocksPerSubnet * hostsPerBlock
 )
 
 // Subnet is the part of the loopback range that one fleet uses: four blocks for hosts and
@@ -40,7 +48,7 @@
 	for range maxAttempts {
 		var b [2]byte
 		_, _ = rand.Read(b[:]) // crypto/rand.Read never returns an error
-		s := Subnet{secondByte: 1 + b[0]%250, thirdByte: b[1] % 28 * 4}
+		s := Subnet{secondByte: 1 + b[0]%secondBytes, thirdByte: b[1] % subnetsPerSecondByte * blocksPerSubnet}
 		if portsFree(s.Host(0), ports) {
 			return s, nil
 		}
@@ -54,7 +62,7 @@
 	for range maxAttempts {
 		var b [3]byte
 		_, _ = rand.Read(b[:]) // crypto/rand.Read never returns an error
-		a := netip.AddrFrom4([4]byte{127, 1 + b[0]%250, b[1], hostsPerBlock + 1 + b[2]%50})
+		a := netip.AddrFrom4([4]byte{127, 1 + b[0]%secondBytes, b[1], hostsPerBlock + 1 + b[2]%lastBytes})
 		if portsFree(a, ports) {
 			return a, nil
 		}
--- a/plugins/sidecar/targetreport.go
+++ b/plugins/sidecar/targetreport.go
@@ -58,11 +58,17 @@
 // recordUnanswered records that the node beside the target has not answered for a time beyond
 // the expected one. That time is only a lower bound of the lag.
 func (r *targetRecord) recordUnanswered(overdue time.Duration, now time.Time) {
-	if overdue > time.Duration(float64(r.lag)*decay(now.Sub(r.lagAt), lagHalfLife)) {
+	if overdue > r.currentLag(now) {
 		r.lag, r.lagAt = overdue, now
 	}
 }
 
+// currentLag returns the lag as of now. It decays, so that the node gets requests again that
+// show whether it still lags.
+func (r *targetRecord) currentLag(now time.Time) time.Duration {
+	return time.Duration(float64(r.lag) * decay(now.Sub(r.lagAt), lagHalfLife))
+}
+
 // updateRoundTrip updates the round-trip time by a sample. Outliers, such as those caused by
 // a paused process, are clipped.
 func (r *targetRecord) updateRoundTrip(sample time.Duration) {
--- a/plugins/sidecar/targetstats.go
+++ b/plugins/sidecar/targetstats.go
@@ -267,7 +267,7 @@
 		Slots:              t.Slots,
 		RunTime:            time.Duration(float64(runTime) * factor),
 		ObjectiveRemaining: objectiveRemaining,
-		RoundTrip:          time.Duration(float64(r.roundTrip)*estimateWeight + float64(r.lag)*decay(now.Sub(r.lagAt), lagHalfLife)),
+		RoundTrip:          time.Duration(float64(r.roundTrip)*estimateWeight) + r.currentLag(now),
 		FailureRate:        r.load.FailureRate * decay(now.Sub(r.loadAt), failureHalfLife),
 		Throttled:          r.share.Until(1, now) > 0,
 		Unavailable:        now.Before(r.cooldownUntil) || r.load.Leaving && now.Sub(r.loadAt) < leavingCooldown,
