--- a/plugins/sidecar/body.go
+++ b/plugins/sidecar/body.go
@@ -11,9 +11,14 @@
 	"github.com/pkg/errors"
 )
 
-// maxBufferedBytes is the length up to which bodies are kept in memory: requests so that
-// they can be retried, answers so that a truncated one can be replaced by a retry.
-const maxBufferedBytes = 256 << 10
+const (
+	// maxBufferedBytes is the length up to which bodies are kept in memory: requests so
+	// that they can be retried, answers so that a truncated one can be replaced by a retry.
+	maxBufferedBytes = 256 << 10
+	// streamPrefixBytes is how much of a longer body is read before it is streamed. A body
+	// that breaks off within it counts as missing, and its request can be retried.
+	streamPrefixBytes = 16 << 10
+)
 
 // messageBody is the body of a request or an answer, either buffered in memory or streamed
 // after its first bytes.
@@ -40,7 +45,7 @@
 		return &messageBody{}, nil
 	}
 	if length > maxBufferedBytes {
-		return &messageBody{rest: body, length: length}, nil
+		return readPrefix(body, length)
 	}
 	var buffer bytes.Buffer
 	if length > 0 {
@@ -59,6 +64,15 @@
 	return &messageBody{data: buffer.Bytes(), length: n}, nil
 }
 
+// readPrefix reads the beginning of a body that is to be streamed.
+func readPrefix(body io.ReadCloser, length int64) (*messageBody, error) {
+	prefix := make([]byte, streamPrefixBytes)
+	if _, err := io.ReadFull(body, prefix); err != nil {
+		return nil, err
+	}
+	return &messageBody{data: prefix, rest: body, length: length}, nil
+}
+
 // limitBody returns a body that fails with errBodyTooLarge once more than remaining bytes
 // are read, or body itself if limited is false.
 func limitBody(body io.ReadCloser, remaining int64, limited bool) io.ReadCloser {
