Answers to callers that stop reading are cut at the deadline

Cause: a caller that read no more of a streamed answer kept its target's slot until the connection ended, whatever the deadline.

Change: a streamed answer must be written by the deadline of its request; one that is complete in memory has five seconds more.

--- a/plugins/sidecar/body.go
+++ b/plugins/sidecar/body.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
@@ -123,12 +124,33 @@
 	}
 }
 
-// writeResponse writes a response. A body that ends early aborts the connection, so that
-// the receiver can't take it for a complete one.
-func writeResponse(w http.ResponseWriter, status int, body *messageBody, method string) {
+// maxWriteStall is how long after its deadline a response that is complete in memory may still
+// take to be written.
+const maxWriteStall = 5 * time.Second
+
+// writeDeadline returns the time by which a response must be written. A streamed one holds a
+// slot of its target and is cut at the deadline of its request; one that is complete is
+// delivered late rather than never.
+func writeDeadline(body *messageBody, deadline, now time.Time) time.Time {
+	if !body.buffered() {
+		return deadline
+	}
+	if deadline.Before(now) {
+		deadline = now
+	}
+	return deadline.Add(maxWriteStall)
+}
+
+// writeResponse writes the response to a request with a deadline. A body that ends early aborts
+// the connection, so that the receiver can't take it for a complete one.
+func writeResponse(w http.ResponseWriter, status int, body *messageBody, method string, deadline time.Time) {
 	if body == nil {
 		body = &messageBody{}
 	}
+	controller := http.NewResponseController(w)
+	if controller.SetWriteDeadline(writeDeadline(body, deadline, time.Now())) == nil {
+		defer func() { _ = controller.SetWriteDeadline(time.Time{}) }() // the connection may have ended
+	}
 	if body.length >= 0 && status != http.StatusNoContent && status != http.StatusNotModified && method != http.MethodHead {
 		w.Header()["Content-Length"] = []string{strconv.FormatInt(body.length, 10)}
 	}
--- a/plugins/sidecar/response.go
+++ b/plugins/sidecar/response.go
@@ -26,7 +26,7 @@
 	for name, values := range forwardedHeaders(a.header) {
 		header[name] = values
 	}
-	writeResponse(w, a.status, a.body, c.method)
+	writeResponse(w, a.status, a.body, c.method, c.deadline)
 }
 
 // finalReason returns the reason reported to the caller: the deadline if it has passed and
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -274,6 +274,7 @@
 
 // ServeHTTP serves requests from other nodes.
 func (s *targetSide) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	received := time.Now()
 	s.drain.requestStarted()
 	rejected := false
 	defer func() { s.drain.requestEnded(rejected) }()
@@ -306,7 +307,7 @@
 	if a.status == 0 {
 		a.status = http.StatusServiceUnavailable
 	}
-	writeResponse(w, a.status, a.body, h.Method)
+	writeResponse(w, a.status, a.body, h.Method, received.Add(h.Remaining))
 }
 
 // parseHost parses the address of a host, the zero address if it is not one.
