TestARequestUnderAnOlderConfigurationIsExplained waits for both lines

Cause: nodes write log lines in batches; the conclusion can name the revision from the target side's line alone, before the entry node has written the end of the request, and the test took it as final.

Change: it waits until the conclusion has both parts, which it asks for as before.

--- a/test/sidecar/explain_test.go
+++ b/test/sidecar/explain_test.go
@@ -111,9 +111,11 @@
 	g.Expect(r).To(Satisfy(reply.Succeeded))
 	// Only a sample of successful requests is logged; this one is logged because it was slow.
 	// The target's node had applied the new configuration before the request ended.
-	h := f.awaitConclusion(g, r.ID, "acted on revision")
+	// Each node writes its log lines in batches, so those of one node may appear first.
+	h := f.awaitConclusion(g, r.ID, "ran and was answered with 200")
 	t.Logf("\n%s", h.Text())
-	g.Expect(h.Conclusion()).To(ContainSubstring("ran and was answered with 200"))
+	g.Eventually(func() string { return f.explain(r.ID).Conclusion() }, eventualTimeout, pollInterval).
+		Should(And(ContainSubstring("ran and was answered with 200"), ContainSubstring("acted on revision")))
 	g.Expect(h.Lines[len(h.Lines)-1].Configuration).To(Equal(uint64(older)))
 }
 
