A target that runs again under a new ID is listed without its predecessor

Cause: after a loss of power targets come back under new IDs within half a second, but their old entries lapse two to three seconds later. Half of the list was stale, and a request was sent to up to four targets that are gone, each rejecting it, before its caller was refused.

Change: of the entries of one service at one address only the latest incarnation is listed: the one that started and was written later.

--- a/plugins/replica/targets.go
+++ b/plugins/replica/targets.go
@@ -118,7 +118,7 @@
 	return a
 }
 
-// list returns the entries as an immutable list.
+// list returns the entries of current incarnations as an immutable list.
 func (t *targets) list(position model.Position) *model.TargetList {
 	l := &model.TargetList{
 		Position:  position,
@@ -126,7 +126,7 @@
 		ByService: map[string][]*model.Target{},
 	}
 	domains := map[netip.Addr]string{}
-	for _, target := range t.entries {
+	for _, target := range currentIncarnations(t.entries) {
 		l.ByID[target.ID] = target
 		l.ByService[target.Service] = append(l.ByService[target.Service], target)
 		domains[target.Address.Addr()] = target.Domain
