Readers pause for 250 ms between two watches of the store

Cause: in a large fleet entries change all the time, so a watch returns at once and a reader called the store ten times a second: nearly all of its calls.

Change: the pause is 250 ms in place of 100, the wait of a watch 450 ms in place of 600, so that the age of copies stays as it was.

--- a/plugins/replica/settings.go
+++ b/plugins/replica/settings.go
@@ -8,8 +8,12 @@
 )
 
 const (
-	// defaultStoreWait bounds the age of a reader's copy, and so that of its followers.
-	defaultStoreWait = 600 * time.Millisecond
+	// defaultStoreWait and defaultStorePause together bound the age of a reader's copy, and
+	// so that of its followers.
+	defaultStoreWait = 450 * time.Millisecond
+	// defaultStorePause batches changes. The entries of a large fleet change all the time, so
+	// a reader's rate of calls is one for each pause, whatever the number of hosts.
+	defaultStorePause = 250 * time.Millisecond
 	// defaultPeerWait is above the time between two confirmations of a reader's copy.
 	defaultPeerWait = 900 * time.Millisecond
 	// defaultPeerPause bounds the rate of requests that a reader gets from each follower
@@ -19,8 +23,6 @@
 	// reader's watch and its own watch both wait for their full time.
 	defaultStaleAfter   = 1500 * time.Millisecond
 	defaultMaxStaleness = 2 * time.Second
-	// defaultStorePause batches changes that come in quick succession.
-	defaultStorePause = 100 * time.Millisecond
 	// defaultReturnGrace is the time within which live targets renew their entries after an
 	// outage of the store.
 	defaultReturnGrace = 2500 * time.Millisecond
