--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -91,7 +91,7 @@
 	defer c.mu.Unlock()
 	c.awaiting = false
 	if err != nil {
-		c.loseLocked()
+		c.closeLocked()
 		return false
 	}
 	return !c.closing && !c.lost
@@ -294,7 +294,7 @@
 	defer c.mu.Unlock()
 	c.closing = true
 	if len(c.exchanges) == 0 || !c.exchanges[0].begun {
-		c.loseLocked()
+		c.closeLocked()
 	}
 	c.changed.Broadcast()
 }
@@ -303,11 +303,11 @@
 func (c *conn) abort() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.loseLocked()
+	c.closeLocked()
 }
 
-// loseLocked closes the connection and cancels its requests. The caller holds mu.
-func (c *conn) loseLocked() {
+// closeLocked closes the connection and cancels its requests. The caller holds mu.
+func (c *conn) closeLocked() {
 	if c.lost {
 		return
 	}
