TestBudgetRunsOutAndRefills and TestNoWindowExceedsBudget are back under their names

TestBudgetRunsOutAndRefills asked for half of the reserve at once, the old capacity. A node now holds a quarter, as one quarter is left to the process that may take its place. The test asks for just as many cases: what is taken at once, nothing while it is spent, what time adds, what requests add.

TestNoWindowExceedsBudget bounded the retries of a window by that window's requests, plus one for the minimum of two tokens that a node with a small share had. The platform's rule counts the requests of that window or of the one before it, whichever has more, and the budget now holds some of what the window before allowed. The test has that bound, without the tolerance of one; the test of whole fleets has the same one.

--- a/plugins/sidecar/retrybudget/budget_test.go
+++ b/plugins/sidecar/retrybudget/budget_test.go
@@ -53,7 +53,7 @@
 	g.Expect(retried).To(BeNumerically(">=", 9))
 }
 
-func TestReserveAllowsForAFewRetriesOfANewNode(t *testing.T) {
+func TestBudgetRunsOutAndRefills(t *testing.T) {
 	g := NewWithT(t)
 	b := Budget{Reserve: 8, Window: window}
 	taken := 0
@@ -63,6 +63,12 @@
 	g.Expect(taken).To(Equal(2), "a quarter of the reserve")
 	g.Expect(b.Withdraw(start.Add(2*time.Second), true)).To(BeFalse())
 	g.Expect(b.Withdraw(start.Add(3*time.Second), true)).To(BeTrue(), "four in each window")
+	for range 5 {
+		g.Expect(b.Withdraw(start.Add(3*time.Second), true)).To(BeFalse())
+	}
+	b.Ratio = 0.2
+	now := deposit(&b, 10, start.Add(3*time.Second))
+	g.Expect(b.Withdraw(now, true)).To(BeTrue(), "ten requests add one retry")
 }
 
 func TestLastRetryIsForUrgentRequests(t *testing.T) {
@@ -172,6 +178,29 @@
 	})
 }
 
+// Property: no window of one node has more retries than its reserve and the ratio times the
+// requests of that window or of the one before it.
+func TestNoWindowExceedsBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{
+			ratio:   rapid.Float64Range(0, 0.5).Draw(t, "ratio"),
+			reserve: rapid.Float64Range(2, 60).Draw(t, "reserve"),
+			budgets: make([]*Budget, 1),
+		}
+		f.restart(0)
+		now := start
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			f.request(0, now, rapid.IntRange(0, 5).Draw(t, "failures"))
+		}
+		for _, end := range f.retries {
+			if used, allowed := within(f.retries, end), f.allowed(end); float64(used) > allowed+1e-6 {
+				t.Fatalf("%d retries in a window that allows %.2f", used, allowed)
+			}
+		}
+	})
+}
+
 // A fleet under an even load with failures throughout uses what is gained over a window.
 func TestFleetUsesMostOfTheLimit(t *testing.T) {
 	g := NewWithT(t)
