Logs tell a crashed target from a lost connection and equal requests from others

Change: the node beside a target that lost a connection without an answer tries to connect to it. If that is refused, and the target had not announced its shutdown, it logs event 2209 with the fingerprints of all requests that were running. The line of a lost run (2202) has its fingerprint, and the reason target-crashed where it applies.

--- a/model/outcome.go
+++ b/model/outcome.go
@@ -80,6 +80,8 @@
 	// ReasonTargetLimited is a request beyond the rate that the targets have named.
 	ReasonTargetLimited Reason = "target-limited"
 	ReasonTargetLost    Reason = "target-lost"
+	// ReasonTargetCrashed is a target that has ended while it ran the request.
+	ReasonTargetCrashed Reason = "target-crashed"
 	ReasonPeerLost      Reason = "peer-lost"
 	ReasonRetryBudget   Reason = "retry-budget"
 )
--- a/plugins/sidecar/body.go
+++ b/plugins/sidecar/body.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
 )
@@ -102,6 +103,13 @@
 // buffered reports whether the complete body is in memory, so that it can be sent again.
 func (m *messageBody) buffered() bool { return m.rest == nil }
 
+// fingerprint returns the fingerprint of a request with this body. It must be called before a
+// streamed body is read.
+func (m *messageBody) fingerprint(method, authority, target string) quarantine.Fingerprint {
+	r := quarantine.Request{Method: method, Authority: authority, Target: target, Body: m.data, Streamed: !m.buffered()}
+	return r.Fingerprint()
+}
+
 // reader returns a reader of the body, nil if it is empty. Only a buffered body can be read
 // more than once.
 func (m *messageBody) reader() io.Reader {
--- a/plugins/sidecar/events.go
+++ b/plugins/sidecar/events.go
@@ -26,8 +26,8 @@
 		Number:  2202,
 		Level:   logrus.InfoLevel,
 		Message: "target side ended",
-		Fields:  []string{"request", "route", "target", "rank", "nested", "late", "patience_ms", "expected_ms", "start_within_ms", "running", "waiting", "slots", "limit", "waited_ms", "worked_ms", "outcome", "reason", "status", "revision", "sender_revision"},
-		Meaning: "The node beside a target has admitted or rejected a request. The fields running, waiting and slots hold the target's load when the request arrived, limit the rate that it accepts in requests per second, -1 if it names none.",
+		Fields:  []string{"request", "route", "target", "rank", "nested", "late", "patience_ms", "expected_ms", "start_within_ms", "running", "waiting", "slots", "limit", "waited_ms", "worked_ms", "outcome", "reason", "status", "revision", "sender_revision", "fingerprint"},
+		Meaning: "The node beside a target has admitted or rejected a request. The fields running, waiting and slots hold the target's load when the request arrived, limit the rate that it accepts in requests per second, -1 if it names none. fingerprint is set for a request that was sent to the target and got no complete answer; equal requests have equal fingerprints.",
 		Action:  "If many requests are rejected as overloaded, the target has too few slots for its load or has become slow.",
 	})
 	eventUnlogged = event.Define(event.Event{
@@ -70,6 +70,14 @@
 		Meaning: "An answer of the host's own target has a header by which targets describe themselves and that this version does not know. It is logged once for each name.",
 		Action:  "Check whether the platform's protocol has changed; a later version of the node may act on the header.",
 	})
+	eventTargetCrashed = event.Define(event.Event{
+		Number:  2209,
+		Level:   logrus.WarnLevel,
+		Message: "target crashed",
+		Fields:  []string{"target", "running", "fingerprints"},
+		Meaning: "The host's own target ended its connections without answers and refuses new ones, though it had not announced its shutdown. running is the number of different requests that it was running, fingerprints identifies them: equal requests have equal fingerprints.",
+		Action:  "If one fingerprint is among those of several crashes, the request probably causes them: find it by the field fingerprint of the \"target side ended\" lines. Otherwise look for the cause at the target.",
+	})
 	eventDrain = event.Define(event.Event{
 		Number:  2205,
 		Level:   logrus.InfoLevel,
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/internal/cborheader"
+	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/internal/strictcbor"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/fxamacker/cbor/v2"
@@ -100,6 +101,11 @@
 	announced targetState
 }
 
+// fingerprint returns the fingerprint of the request, whose body was sent with the handover.
+func (h *handover) fingerprint(body *messageBody) quarantine.Fingerprint {
+	return body.fingerprint(h.Method, h.Authority, h.Target)
+}
+
 // position returns the position of the store that the sender has, 0 for the era if the sender
 // does not know eras.
 func (h *handover) position() model.Position {
--- a/plugins/sidecar/instance.go
+++ b/plugins/sidecar/instance.go
@@ -14,7 +14,8 @@
 // instance is one incarnation of the local target, with its slots, queue, connections and
 // run time estimates.
 type instance struct {
-	pool *httpconn.Pool
+	pool    *httpconn.Pool
+	crashes *crashDetector
 
 	mu    sync.Mutex
 	queue *slotqueue.Queue
@@ -46,6 +47,7 @@
 func newInstance(slots int, pool *httpconn.Pool) *instance {
 	inst := &instance{
 		pool:         pool,
+		crashes:      newCrashDetector(),
 		queue:        slotqueue.New(slots),
 		meanRunTimes: map[string]time.Duration{},
 		slowdown:     1,
--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -14,7 +14,6 @@
 
 // callTarget sends a request that has acquired a slot to the target.
 func (s *targetSide) callTarget(ctx context.Context, inst *instance, h *handover, header http.Header, body *messageBody) *answer {
-	start := time.Now()
 	remaining := h.Remaining
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining = time.Until(deadline)
@@ -28,6 +27,17 @@
 		Target:        h.Instance,
 		CallerService: h.CallerService,
 	})
+	fingerprint := h.fingerprint(body)
+	run := inst.crashes.started(fingerprint)
+	a := s.exchangeWithTarget(ctx, inst, h, header, body)
+	inst.crashes.ended(run)
+	a.fingerprint = fingerprint
+	return a
+}
+
+// exchangeWithTarget sends a request to the target and reads the answer.
+func (s *targetSide) exchangeWithTarget(ctx context.Context, inst *instance, h *handover, header http.Header, body *messageBody) *answer {
+	start := time.Now()
 	response, err := inst.pool.RoundTrip(ctx, &httpconn.Request{
 		Method: h.Method,
 		Target: h.Target,
@@ -42,14 +52,24 @@
 		if ctx.Err() != nil {
 			inst.recordUnfinishedRun(h.Route, time.Since(start))
 		}
-		return s.noAnswer(ctx, inst, h, err)
+		return s.connectionLost(ctx, inst, h, err)
 	}
 	return s.readAnswer(ctx, inst, h, response, start)
 }
 
+// connectionLost returns the answer of a request whose connection failed before the answer was
+// complete.
+func (s *targetSide) connectionLost(ctx context.Context, inst *instance, h *handover, err error) *answer {
+	a := s.noAnswer(ctx, inst, err)
+	if a.Reason == model.ReasonTargetLost && s.targetCrashed(ctx, inst, h) {
+		a.Reason = model.ReasonTargetCrashed
+	}
+	return a
+}
+
 // noAnswer returns the answer of a request to which the target sent no complete response.
 // If the request was not sent, it has not run; otherwise its outcome is unknown.
-func (s *targetSide) noAnswer(ctx context.Context, inst *instance, h *handover, err error) *answer {
+func (s *targetSide) noAnswer(ctx context.Context, inst *instance, err error) *answer {
 	var failure *httpconn.Error
 	if errors.As(err, &failure) && !failure.Sent {
 		if ctx.Err() != nil {
@@ -83,6 +103,7 @@
 // that is not signed by the target, or any that is content-encoded, counts as lost.
 func (s *targetSide) readAnswer(ctx context.Context, inst *instance, h *handover, response *http.Response, start time.Time) *answer {
 	inst.recordAnswer()
+	inst.crashes.answered()
 	head := s.exchange.ParseResponse(response.StatusCode, response.Header)
 	s.updateIdleTimeout(inst, response.Header)
 	if !head.WrongTarget {
@@ -92,7 +113,7 @@
 	body, err := readBody(response.Body, answerLength(response, h.Method), 0)
 	if err != nil {
 		_ = response.Body.Close() // the body was cut off
-		return s.noAnswer(ctx, inst, h, &httpconn.Error{Sent: true, Err: err})
+		return s.connectionLost(ctx, inst, h, &httpconn.Error{Sent: true, Err: err})
 	}
 	a := &answer{status: response.StatusCode, header: response.Header, body: body}
 	a.ReachedTarget = true
@@ -112,7 +133,7 @@
 		return a
 	case head.Encoded || !head.Signed && a.status < http.StatusMultipleChoices:
 		body.close()
-		return s.noAnswer(ctx, inst, h, &httpconn.Error{Sent: true, Err: errors.New("the answer is unsigned or content-encoded")})
+		return s.noAnswer(ctx, inst, &httpconn.Error{Sent: true, Err: errors.New("the answer is unsigned or content-encoded")})
 	}
 	a.Outcome = model.OutcomeRan
 	a.Failed = a.status >= http.StatusInternalServerError
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -11,6 +11,7 @@
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/internal/cborheader"
 	"github.com/bronzemast/bronzemast/internal/httpconn"
+	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/internal/unknownheader"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/nesting"
@@ -50,6 +51,8 @@
 	body   *messageBody
 	// release frees the resources of an attempt whose body is streamed; nil otherwise.
 	release func()
+	// fingerprint identifies a request that reached the target; zero otherwise.
+	fingerprint quarantine.Fingerprint
 }
 
 // close releases an answer that is not, or no longer, needed.
--- a/plugins/sidecar/trace.go
+++ b/plugins/sidecar/trace.go
@@ -132,6 +132,10 @@
 	if !shouldLog(h.ID, notable) {
 		return
 	}
+	fingerprint := ""
+	if a.Reason == model.ReasonTargetLost || a.Reason == model.ReasonTargetCrashed {
+		fingerprint = a.fingerprint.String()
+	}
 	t.emit([]logLine{{event: eventTargetSide, fields: event.Fields{
 		"request":         h.ID,
 		"route":           h.Route,
@@ -153,5 +157,6 @@
 		"status":          a.status,
 		"revision":        position,
 		"sender_revision": h.position(),
+		"fingerprint":     fingerprint,
 	}}}, notable)
 }
