A request that crashes its targets is kept from them by all nodes

What callers saw: one request, sent again under new IDs and by retries, took target after target down. Its neighbours on each target failed with 502, and the service lost its room for seconds each time.

Cause: a node forgot a request when its attempt ended. A crashed target counted against the target alone, so that the same request was placed on the next one: at once by a retry, and again with each attempt of its caller. No node knew what the others had seen.

Change: the node beside a target that crashes reports the requests that were running to all others (plug-in quarantine). Crashes have random IDs, so the reports add up to the same evidence on every node in any order. A request with a crash and no complete run since runs alone, at one target that all nodes choose alike; after the second crash it waits 3 s; after the third it is refused with 503 and Retry-After for ten minutes, longer after each further crash. It is judged at the entry and right before it is sent to the target, so that copies that waited or were handed over earlier are caught. A completed run clears a suspect with one or two crashes, eight for each crash clear any, and what an incarnation has completed before is not suspected when it crashes, so that requests which are always under way are not blamed for crashes from outside. Nodes without evidence send nothing.

--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -34,29 +34,32 @@
 // Line is a log line about a request. Its JSON names are the field names of the log;
 // fields that an event does not have are zero.
 type Line struct {
-	Event      int     `json:"event"`
-	Time       string  `json:"time"`
-	Host       string  `json:"host"`
-	Request    string  `json:"request"`
-	Route      string  `json:"route"`
-	Service    string  `json:"service"`
-	Authority  string  `json:"authority"`
-	Path       string  `json:"path"`
-	Target     string  `json:"target"`
-	Outcome    string  `json:"outcome"`
-	Reason     string  `json:"reason"`
-	Status     int     `json:"status"`
-	Hop        int     `json:"hop"`
-	Hops       int     `json:"hops"`
-	Dispatched bool    `json:"handed"`
-	Rank       int     `json:"rank"`
-	Nested     bool    `json:"nested"`
-	Running    int     `json:"running"`
-	Waiting    int     `json:"waiting"`
-	Slots      int     `json:"slots"`
-	Occupied   float64 `json:"occupied"`
-	LoadAgeMs  int64   `json:"load_age_ms"`
-	ExpectedMs int64   `json:"expected_ms"`
+	Event     int    `json:"event"`
+	Time      string `json:"time"`
+	Host      string `json:"host"`
+	Request   string `json:"request"`
+	Route     string `json:"route"`
+	Service   string `json:"service"`
+	Authority string `json:"authority"`
+	Path      string `json:"path"`
+	Target    string `json:"target"`
+	Outcome   string `json:"outcome"`
+	Reason    string `json:"reason"`
+	// Fingerprint identifies equal requests. It is set only for those that targets have crashed
+	// under.
+	Fingerprint string  `json:"fingerprint,omitempty"`
+	Status      int     `json:"status"`
+	Hop         int     `json:"hop"`
+	Hops        int     `json:"hops"`
+	Dispatched  bool    `json:"handed"`
+	Rank        int     `json:"rank"`
+	Nested      bool    `json:"nested"`
+	Running     int     `json:"running"`
+	Waiting     int     `json:"waiting"`
+	Slots       int     `json:"slots"`
+	Occupied    float64 `json:"occupied"`
+	LoadAgeMs   int64   `json:"load_age_ms"`
+	ExpectedMs  int64   `json:"expected_ms"`
 	// Limit is the rate that the target accepts, in requests per second.
 	Limit         float64 `json:"limit"`
 	StartWithinMs int64   `json:"start_within_ms"`
@@ -286,6 +289,10 @@
 		return fmt.Sprintf("The request was refused by a limit: the targets accept only a limited rate at present, which was used up; the caller was asked to retry after %d ms.", end.RetryAfterMs)
 	case end.Reason == "target-lost":
 		return "The target ended, or aborted its response, while it processed the request; whether the request ran is unknown."
+	case end.Reason == "target-crashed":
+		return fmt.Sprintf("The target ended while it processed the request, and accepted no connection afterwards; whether the request ran is unknown. The request has the fingerprint %s.", end.Fingerprint)
+	case end.Reason == "quarantined":
+		return fmt.Sprintf("The request was kept from targets, since some have crashed while they ran it; the caller was asked to retry after %d ms. The request has the fingerprint %s; events 2209 and 2300 with it name the crashes.", end.RetryAfterMs, end.Fingerprint)
 	case end.Reason == "peer-lost":
 		return "The target's node ended or stopped responding after it had received the request; whether the request ran is unknown."
 	case end.Reason == "deadline":
--- a/internal/requestlog/requestlog_test.go
+++ b/internal/requestlog/requestlog_test.go
@@ -74,6 +74,8 @@
 		`"outcome":"not-run","reason":"no-configuration"`: "no-configuration",
 		`"outcome":"not-run","reason":"overloaded"`:       "all targets had recently been full",
 		`"outcome":"not-run","reason":"target-limited"`:   "only a limited rate at present",
+		`"outcome":"unknown","reason":"target-crashed"`:   "The target ended while it processed the request",
+		`"outcome":"not-run","reason":"quarantined"`:      "some have crashed while they ran it",
 	} {
 		h := read(t, "r", `{"event":2201,"request":"r",`+line+"}\n")
 		NewWithT(t).Expect(h.Conclusion()).To(ContainSubstring(want))
--- a/model/outcome.go
+++ b/model/outcome.go
@@ -82,8 +82,11 @@
 	ReasonTargetLost    Reason = "target-lost"
 	// ReasonTargetCrashed is a target that has ended while it ran the request.
 	ReasonTargetCrashed Reason = "target-crashed"
-	ReasonPeerLost      Reason = "peer-lost"
-	ReasonRetryBudget   Reason = "retry-budget"
+	// ReasonQuarantined is a request that is kept from targets because they have crashed while
+	// they ran it.
+	ReasonQuarantined Reason = "quarantined"
+	ReasonPeerLost    Reason = "peer-lost"
+	ReasonRetryBudget Reason = "retry-budget"
 )
 
 // The headers that are part of the interface to callers.
--- a/plugins/sidecar/body.go
+++ b/plugins/sidecar/body.go
@@ -198,6 +198,7 @@
 	delete(kept, headerHandover)
 	delete(kept, headerResult)
 	delete(kept, headerTargetState)
+	delete(kept, headerCrashReports)
 	delete(kept, model.HeaderEra)
 	return kept
 }
--- a/plugins/sidecar/choose.go
+++ b/plugins/sidecar/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/placement"
 )
@@ -60,16 +61,32 @@
 		eligible = append(eligible, t)
 		candidates = append(candidates, candidate)
 	}
-	i := placement.Choose(candidates, random)
+	i := s.place(c, eligible, candidates, random)
 	if i < 0 {
 		return noTarget
 	}
-	return choice{
+	chosen := choice{
 		target:       eligible[i],
 		candidate:    candidates[i],
 		loadAge:      now.Sub(s.target(eligible[i], now).loadAt),
 		maxQueueWait: maxQueueWait(candidates, i, c.route.Timeout),
 	}
+	if c.isolated {
+		chosen.maxQueueWait = c.route.Timeout // the request may go to no other target
+	}
+	return chosen
+}
+
+// place returns the index of the target for a call, -1 if there is none.
+func (s *targetStats) place(c *call, eligible []*model.Target, candidates []placement.Candidate, random float64) int {
+	if !c.isolated {
+		return placement.Choose(candidates, random)
+	}
+	ids := make([]string, len(eligible))
+	for i, t := range eligible {
+		ids[i] = string(t.ID)
+	}
+	return quarantine.IsolationTarget(c.fingerprint(), ids)
 }
 
 // addFull records that a target is full. The node offers no request to a target that limits
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -10,6 +10,7 @@
 	"github.com/bronzemast/bronzemast/config/ingress"
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/internal/httpserver"
+	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/model"
 )
 
@@ -27,6 +28,8 @@
 	budgets  *retryBudgets
 	sender   *sender
 	drain    *drain
+	// quarantine keeps requests from targets that crash while they run them.
+	quarantine model.Quarantine
 	// table is the routing table used for the latest request.
 	table atomic.Pointer[ingress.Table]
 }
@@ -66,6 +69,10 @@
 	// charged is set while a retry has been taken from the budget for an attempt that has
 	// not started yet.
 	charged atomic.Bool
+	// identity is the fingerprint of the request, nil until it is needed, and isolated is set
+	// while the request may only go to its isolation target.
+	identity *quarantine.Fingerprint
+	isolated bool
 	// trace holds the log lines of the attempts so far, to be logged with the request.
 	trace []logLine
 }
@@ -106,6 +113,11 @@
 	e.budgets.deposit(c.service, now)
 	var last *answer
 	for {
+		verdict := e.verdict(c)
+		if verdict.Action == quarantine.Refuse {
+			return quarantinedAnswer(last, verdict)
+		}
+		c.isolated = verdict.Action == quarantine.Isolate
 		chosen := e.choose(c)
 		if chosen.target == nil {
 			return noTargetAnswer(last, chosen)
@@ -186,6 +198,9 @@
 		return false
 	case planRetry:
 		c.excludedTargets[t.ID] = true
+		if e.verdict(c).Action == quarantine.Refuse {
+			return true
+		}
 		if !c.charged.Swap(false) && !e.charge(c) {
 			e.metrics.budgetEmpty.Add(1)
 			return true
--- a/plugins/sidecar/events.go
+++ b/plugins/sidecar/events.go
@@ -18,8 +18,8 @@
 		Number:  2201,
 		Level:   logrus.InfoLevel,
 		Message: "request ended",
-		Fields:  []string{"request", "route", "service", "configuration", "revision", "hops", "targets", "outcome", "reason", "status", "retry_after_ms", "took_ms", "left_ms"},
-		Meaning: "A caller has received its response or has disconnected. left_ms is the time remaining until the earlier of the caller's deadline and the route's timeout.",
+		Fields:  []string{"request", "route", "service", "configuration", "revision", "hops", "targets", "outcome", "reason", "status", "retry_after_ms", "took_ms", "left_ms", "fingerprint"},
+		Meaning: "A caller has received its response or has disconnected. left_ms is the time remaining until the earlier of the caller's deadline and the route's timeout. fingerprint is set if a target has crashed while it ran the request, or if the request was kept from targets for that reason; equal requests have equal fingerprints.",
 		Action:  "For failed requests, look up the attempt and target side lines with the same request ID.",
 	})
 	eventTargetSide = event.Define(event.Event{
@@ -74,8 +74,8 @@
 		Number:  2209,
 		Level:   logrus.WarnLevel,
 		Message: "target crashed",
-		Fields:  []string{"target", "running", "fingerprints"},
-		Meaning: "The host's own target ended its connections without answers and refuses new ones, though it had not announced its shutdown. running is the number of different requests that it was running, fingerprints identifies them: equal requests have equal fingerprints.",
+		Fields:  []string{"target", "fingerprints"},
+		Meaning: "The host's own target ended its connections without answers and refuses new ones, though it had not announced its shutdown. fingerprints identifies the requests that it was running and had never completed: equal requests have equal fingerprints.",
 		Action:  "If one fingerprint is among those of several crashes, the request probably causes them: find it by the field fingerprint of the \"target side ended\" lines. Otherwise look for the cause at the target.",
 	})
 	eventDrain = event.Define(event.Event{
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -25,6 +25,9 @@
 	// headerTargetState carries what is known of the target's announcements, on a request
 	// and on its response. It is absent if there are none.
 	headerTargetState = "Bronzemast-Target-State"
+	// headerCrashReports carries the evidence on a request that has crashed its target, or is
+	// kept from it for that reason, on a response.
+	headerCrashReports = "Bronzemast-Crash-Reports"
 	// handoverVersion is the version of both headers.
 	handoverVersion = 1
 	// maxHandoverBytes bounds the length of both header values, in bytes.
@@ -99,6 +102,8 @@
 	era uint64
 	// announced is what the target has announced. It is sent in headerTargetState.
 	announced targetState
+	// crashReports is the evidence on the request. It is sent in headerCrashReports.
+	crashReports []quarantine.Report
 }
 
 // fingerprint returns the fingerprint of the request, whose body was sent with the handover.
@@ -229,6 +234,9 @@
 	if r.announced, err = decodeTargetState(header); err != nil {
 		return nil, err
 	}
+	if r.crashReports, err = quarantine.DecodeHeader(header.Get(headerCrashReports)); err != nil {
+		return nil, errors.Wrap(err, "crash report header")
+	}
 	if r.era, err = model.ParseEra(header); err != nil {
 		return nil, err
 	}
--- a/plugins/sidecar/instance.go
+++ b/plugins/sidecar/instance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/internal/httpconn"
+	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/ratelimit"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/slotqueue"
@@ -15,7 +16,9 @@
 // run time estimates.
 type instance struct {
 	pool    *httpconn.Pool
-	crashes *crashDetector
+	crashes *quarantine.Detector
+	// isolation admits the requests that are suspected of causing crashes.
+	isolation *quarantine.Isolation
 
 	mu    sync.Mutex
 	queue *slotqueue.Queue
@@ -47,7 +50,8 @@
 func newInstance(slots int, pool *httpconn.Pool) *instance {
 	inst := &instance{
 		pool:         pool,
-		crashes:      newCrashDetector(),
+		crashes:      quarantine.NewDetector(),
+		isolation:    quarantine.NewIsolation(),
 		queue:        slotqueue.New(slots),
 		meanRunTimes: map[string]time.Duration{},
 		slowdown:     1,
--- a/plugins/sidecar/plan.go
+++ b/plugins/sidecar/plan.go
@@ -48,6 +48,8 @@
 	}
 	notRun := e.outcome == model.OutcomeNotRun
 	switch {
+	case e.reason == model.ReasonQuarantined:
+		return planFinish
 	case notRun && !e.reachedTarget && e.reason != model.ReasonDeadline && e.reason != model.ReasonCanceled:
 		return planFailover
 	case !e.reachedTarget || e.targetsReached >= e.maxTargets:
--- a/plugins/sidecar/sender.go
+++ b/plugins/sidecar/sender.go
@@ -28,6 +28,7 @@
 	self       netip.Addr
 	peerPort   string
 	replica    model.Replica
+	quarantine model.Quarantine
 	targetSide *targetSide
 	prober     *prober
 	// markUnreachable is called for a target whose peer does not answer.
@@ -167,6 +168,7 @@
 		_ = response.Body.Close() // the body has been read completely
 	}
 	s.replica.ObservePosition(peer, reported.position())
+	s.quarantine.Learn(reported.crashReports)
 	a := &answer{result: *reported, body: body}
 	if reported.Outcome == model.OutcomeRan {
 		a.status = response.StatusCode
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -29,7 +29,7 @@
 	kernel.Register(kernel.Registration{
 		Name:     "sidecar",
 		Profile:  kernel.ProfileSidecar,
-		Requires: []string{"transport", "clearplate", "replica"},
+		Requires: []string{"transport", "clearplate", "replica", "quarantine"},
 		New:      func() kernel.Plugin { return newSidecar() },
 	})
 }
@@ -132,6 +132,10 @@
 	if err != nil {
 		return err
 	}
+	held, err := kernel.Lookup[model.Quarantine](ctx)
+	if err != nil {
+		return err
+	}
 	peer, err := netip.ParseAddrPort(ctx.Host().PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "peer address")
@@ -164,6 +168,7 @@
 			ctx.Log().Emit(eventUnknownHeader, event.Fields{"header": name})
 		}},
 		departures: newDepartures(),
+		quarantine: held,
 	}
 	s.entry = &entry{
 		host:     ctx.Host(),
@@ -176,17 +181,21 @@
 		splitter: &ingress.Splitter{},
 		budgets:  newRetryBudgets(&s.live, hosts),
 		drain:    s.drain,
+
+		quarantine: held,
 	}
+	held.SetPeers(func() []netip.AddrPort { return peerAddresses(replica.Targets(), peer.Port()) })
 	s.targetSide.onNested = s.entry.stats.recordNested
 	s.entry.stats.departures = s.targetSide.departures
 	s.entry.stats.fleetSize = hosts
 	ctx.Metrics().Set("target_limits", expvar.Func(func() any { return s.targetSide.limits() }))
 	s.entry.sender = s.newSender(peer, transport, replica)
+	s.entry.sender.quarantine = held
 	transport.HandleCalls(s.entry)
 	transport.HandlePeer("POST "+pathHandover, s.targetSide)
 	transport.HandlePeer("GET "+pathAlive, http.HandlerFunc(serveAlive))
 	replica.Subscribe(s.retain)
-	s.registerReadiness(ctx)
+	s.registerReadiness(ctx, held)
 	return nil
 }
 
@@ -219,12 +228,26 @@
 	s.entry.sender.retain(list)
 }
 
-// registerReadiness makes the node report not ready while it drains.
-func (s *Sidecar) registerReadiness(ctx *kernel.Context) {
+// peerAddresses returns the peer addresses of the listed hosts, nil if there are none.
+func peerAddresses(list *model.TargetList, port uint16) []netip.AddrPort {
+	if len(list.Hosts) == 0 {
+		return nil
+	}
+	peers := make([]netip.AddrPort, len(list.Hosts))
+	for i, host := range list.Hosts {
+		peers[i] = netip.AddrPortFrom(host.Address, port)
+	}
+	return peers
+}
+
+// registerReadiness makes the node report not ready while it drains, and at its start until it
+// has asked which requests crash targets.
+func (s *Sidecar) registerReadiness(ctx *kernel.Context, held model.Quarantine) {
 	readiness, err := kernel.Lookup[model.Readiness](ctx)
 	if err != nil {
 		return
 	}
+	readiness.Require("quarantine", held.Synchronized)
 	readiness.Require("draining", func() error {
 		if s.drain.draining() {
 			return errors.New("the node is leaving")
--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -28,9 +28,16 @@
 		CallerService: h.CallerService,
 	})
 	fingerprint := h.fingerprint(body)
-	run := inst.crashes.started(fingerprint)
+	run := inst.crashes.Started(fingerprint)
 	a := s.exchangeWithTarget(ctx, inst, h, header, body)
-	inst.crashes.ended(run)
+	completed := a.Outcome == model.OutcomeRan
+	inst.crashes.Ended(run, completed)
+	if completed {
+		s.quarantine.RecordRun(fingerprint)
+	}
+	if a.Reason == model.ReasonTargetCrashed {
+		a.crashReports = s.quarantine.Reports(fingerprint)
+	}
 	a.fingerprint = fingerprint
 	return a
 }
@@ -103,7 +110,7 @@
 // that is not signed by the target, or any that is content-encoded, counts as lost.
 func (s *targetSide) readAnswer(ctx context.Context, inst *instance, h *handover, response *http.Response, start time.Time) *answer {
 	inst.recordAnswer()
-	inst.crashes.answered()
+	inst.crashes.Answered()
 	head := s.exchange.ParseResponse(response.StatusCode, response.Header)
 	s.updateIdleTimeout(inst, response.Header)
 	if !head.WrongTarget {
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -37,6 +37,7 @@
 	// unknownHeaders counts the headers of the target that this program does not know.
 	unknownHeaders *unknownheader.Recorder
 	departures     *departures
+	quarantine     model.Quarantine
 	// onNested is called with whether the requests of a route appear to be calls made by
 	// targets.
 	onNested func(route, service string, nested bool)
@@ -125,6 +126,11 @@
 		return unreachableAnswer(wait)
 	}
 	adm.expected = inst.expectedRunTime(h.Route, h.Objective)
+	guard := s.newGuard(inst, h, body)
+	if retryAfter, ok := guard.Enter(ctx, adm.expected, h.Remaining-adm.expected); !ok {
+		return s.quarantined(h, body, retryAfter)
+	}
+	defer guard.Leave()
 	arrived := time.Now()
 	t := newTicket(h, adm, arrived)
 	if t == nil {
@@ -141,6 +147,10 @@
 		inst.release(t)
 		return notRunAnswer(model.ReasonDraining)
 	}
+	if retryAfter, ok := guard.Check(); !ok {
+		inst.release(t)
+		return s.quarantined(h, body, retryAfter)
+	}
 	a := s.callTarget(ctx, inst, h, header, body)
 	if a.release == nil {
 		inst.release(t)
@@ -253,6 +263,7 @@
 	}
 	header[headerResult] = []string{cborheader.Encode(&a.result)}
 	a.announced.set(header)
+	setCrashReports(header, a.crashReports)
 	position.SetHeader(header)
 	if a.status == 0 {
 		a.status = http.StatusServiceUnavailable
--- a/plugins/sidecar/trace.go
+++ b/plugins/sidecar/trace.go
@@ -93,6 +93,10 @@
 	if !shouldLog(c.id, notable) {
 		return
 	}
+	fingerprint := ""
+	if a.Reason == model.ReasonTargetCrashed || a.Reason == model.ReasonQuarantined {
+		fingerprint = c.fingerprint().String()
+	}
 	lines := append(c.trace, logLine{event: eventRequest, fields: event.Fields{
 		"request":        c.id,
 		"route":          c.route.Name,
@@ -107,6 +111,7 @@
 		"retry_after_ms": retryAfter.Milliseconds(),
 		"took_ms":        took.Milliseconds(),
 		"left_ms":        time.Until(c.deadline).Milliseconds(),
+		"fingerprint":    fingerprint,
 	}})
 	t.emit(lines, notable)
 }
