Profile fleet: calls that crash their targets are kept from them, and are their caller's burn

An idempotent call was retried at up to four targets, and each call of the same kind started anew, whatever had happened under it before.

Change: both roles use the plug-in quarantine. The entry node identifies a call by caller, method, service, request target and body and sends the fingerprint along, since the target-side node reads the body only while it forwards it. A call that is refused counts for its caller in the burn report (cause crashing-calls), not for the owner of the target; status names the nodes that keep requests from targets, and since when.

Found with it: a target that crashed again before it had answered anything was not seen to have crashed. It counts as running again once it accepts a connection.

--- a/cmd/bronzemast/fleet_test.go
+++ b/cmd/bronzemast/fleet_test.go
@@ -55,6 +55,13 @@
 	}
 }
 
+func TestStatusNamesRequestsThatAreKeptFromTargets(t *testing.T) {
+	g := NewWithT(t)
+	s := status("h1", 7)
+	s.Held = []model.HeldRequest{{Since: s.At.Add(-time.Minute)}, {Since: s.At.Add(-2 * time.Minute)}}
+	g.Expect(statusNote(&s)).To(Equal("keeps 2 requests from targets, which crash under them, since 2m0s"))
+}
+
 func resultOf(s model.NodeStatus) statusResult {
 	return statusResult{Node: operators.Node{ID: s.Host}, Value: s}
 }
--- a/cmd/bronzemast/status.go
+++ b/cmd/bronzemast/status.go
@@ -123,6 +123,8 @@
 	switch {
 	case s.Refused != nil:
 		return fmt.Sprintf("refused release %d", s.Refused.Release)
+	case len(s.Held) > 0:
+		return heldText(s.Held, s.At)
 	case !s.Settled:
 		return "not settled"
 	case s.Highest > s.Release:
@@ -134,6 +136,17 @@
 	}
 }
 
+// heldText describes the requests that a node keeps from targets.
+func heldText(held []model.HeldRequest, now time.Time) string {
+	since := held[0].Since
+	for _, h := range held[1:] {
+		if h.Since.Before(since) {
+			since = h.Since
+		}
+	}
+	return fmt.Sprintf("keeps %d requests from targets, which crash under them, since %s", len(held), now.Sub(since).Round(time.Second))
+}
+
 // statusSummary counts the nodes that have the highest release in force and the
 // unreachable nodes.
 func statusSummary(results []statusResult) string {
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -16,7 +16,8 @@
 	running map[*Run]struct{}
 	// completed holds requests that the target has completed. They are not suspected.
 	completed Completed
-	// check is the check after the latest lost connection, nil once the target has answered.
+	// check is the check after the latest lost connection, nil once the target is known to run
+	// again.
 	check *CrashCheck
 }
 
@@ -49,8 +50,8 @@
 	}
 }
 
-// Answered records that the target has answered, so that it is running.
-func (d *Detector) Answered() {
+// Reached records that the target has accepted a connection or answered, so that it is running.
+func (d *Detector) Reached() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.check != nil && d.check.isEnded() {
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -34,7 +34,7 @@
 	g.Expect(isNew).To(BeFalse(), "a request that meets a crashed target has not caused the crash")
 	g.Expect(joined.Wait(t.Context())).To(BeTrue())
 
-	d.Answered()
+	d.Reached()
 	d.Started(three)
 	check, isNew = d.ConnectionLost()
 	g.Expect(isNew).To(BeTrue(), "the target has run again")
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -19,7 +19,7 @@
 const fingerprintBytes = 16
 
 // Fingerprint identifies equal requests: those with the same method, authority, request target
-// and body, whoever sends them and on whichever host.
+// and body, on whichever host they are sent. Where callers are authenticated, the caller counts too.
 type Fingerprint [fingerprintBytes]byte
 
 // StreamedBodyBytes is the length of the part of a streamed body that counts for its
@@ -28,6 +28,8 @@
 
 // Request holds what identifies a request.
 type Request struct {
+	// Caller is the name of an authenticated caller, empty if callers are not authenticated.
+	Caller    string
 	Method    string
 	Authority string
 	// Target is the request target: path and query.
@@ -40,6 +42,7 @@
 // Fingerprint returns the fingerprint of the request.
 func (r *Request) Fingerprint() Fingerprint {
 	digest := sha256.New()
+	writeField(digest, []byte(r.Caller))
 	writeField(digest, []byte(r.Method))
 	writeField(digest, []byte(strings.ToLower(r.Authority)))
 	writeField(digest, []byte(r.Target))
--- a/internal/quarantine/fingerprint_test.go
+++ b/internal/quarantine/fingerprint_test.go
@@ -16,6 +16,7 @@
 	g.Expect(same.Fingerprint()).To(Equal(base.Fingerprint()))
 
 	for name, other := range map[string]Request{
+		"caller":          {Caller: "kiosk", Method: "POST", Authority: "shop.example", Target: "/a?b=c", Body: []byte("body")},
 		"method":          {Method: "PUT", Authority: "shop.example", Target: "/a?b=c", Body: []byte("body")},
 		"authority":       {Method: "POST", Authority: "pay.example", Target: "/a?b=c", Body: []byte("body")},
 		"path":            {Method: "POST", Authority: "shop.example", Target: "/b?b=c", Body: []byte("body")},
--- a/model/interfaces.go
+++ b/model/interfaces.go
@@ -383,5 +383,8 @@
 	At          time.Time `json:"at"`
 	// Stage is the stage of draining.
 	Stage string `json:"stage"`
+	// Held holds the requests that are kept from targets since targets crash while they run
+	// them.
+	Held []HeldRequest `json:"held,omitempty"`
 	ConfigurationStatus
 }
--- a/model/quarantine.go
+++ b/model/quarantine.go
@@ -1,7 +1,7 @@
 package model
 
 import (
-	"net/netip"
+	"time"
 
 	"github.com/bronzemast/bronzemast/internal/quarantine"
 )
@@ -23,10 +23,22 @@
 	Reports(f quarantine.Fingerprint) []quarantine.Report
 	// Learn adds the evidence that another node has sent.
 	Learn(reports []quarantine.Report)
+	// Held returns the requests that are refused at present.
+	Held() []HeldRequest
 	// SetPeers sets a function that returns the peer addresses of the other nodes; it is nil
 	// until they are known. It must be called before the node starts.
-	SetPeers(peers func() []netip.AddrPort)
+	SetPeers(peers func() []string)
 	// Synchronized returns nil once the node has asked another one for the evidence, or has
 	// found none to ask.
 	Synchronized() error
 }
+
+// HeldRequest is a request that is kept from targets.
+type HeldRequest struct {
+	Fingerprint string `json:"fingerprint"`
+	// Crashes is the number of known crashes of targets under the request.
+	Crashes int `json:"crashes"`
+	// Since is the time of the last crash, and Until the end of the refusal.
+	Since time.Time `json:"since"`
+	Until time.Time `json:"until"`
+}
--- a/plugins/burn/aggregator.go
+++ b/plugins/burn/aggregator.go
@@ -91,7 +91,7 @@
 	overShare := r.OverShare || r.Reason == model.ReasonOverShare
 	agg.seriesFor(r).add(r.At, agg.steps, class, overShare)
 	agg.recordLatency(r, class)
-	if class == slo.ClassSlow || class == slo.ClassFailed || class == slo.ClassShed {
+	if class == slo.ClassSlow || class == slo.ClassFailed || class == slo.ClassShed || class == slo.ClassQuarantined {
 		agg.recordBadCall(r, class)
 	}
 }
--- a/plugins/burn/slo/attribute.go
+++ b/plugins/burn/slo/attribute.go
@@ -18,6 +18,9 @@
 	CauseNone Cause = "none"
 	// CauseCallers means that calls above the callers' shares caused overload.
 	CauseCallers Cause = "callers"
+	// CauseCrashingCalls means that calls were kept from targets because these crash while
+	// they run them.
+	CauseCrashingCalls Cause = "crashing-calls"
 	// CauseTargetOverload means that the target lacked capacity for callers within
 	// their shares: it was slow, or too small for what was granted.
 	CauseTargetOverload Cause = "target-overload"
@@ -81,7 +84,8 @@
 
 // Attribute attributes the burn of one window. Failed calls are attributed to the
 // target. Shed and slow calls are attributed to the callers up to the number of calls
-// above share, in proportion to each caller's; the rest to the target.
+// above share, in proportion to each caller's; the rest to the target. Calls that were kept
+// from targets because these crash under them are attributed to their callers.
 func Attribute(callers Callers, availability float64) Attribution {
 	total := callers.Total()
 	objectiveCounts := total.objectiveCounts()
@@ -109,11 +113,15 @@
 	}
 	caused := min(overload, excess)
 	for name, s := range callers {
+		fraction := float64(s.objectiveCounts().Quarantined) / bad
 		if over := s.OverShare(); over > 0 {
-			attr.ByCaller[name] = caused / bad * float64(over) / excess
+			fraction += caused / bad * float64(over) / excess
+		}
+		if fraction > 0 {
+			attr.ByCaller[name] = fraction
 		}
 	}
-	attr.ByTarget = 1 - caused/bad
+	attr.ByTarget = 1 - (caused+float64(counts.Quarantined))/bad
 }
 
 // determineCause sets the cause and the summary.
@@ -129,8 +137,10 @@
 		return
 	}
 	switch {
+	case counts.Quarantined*2 >= counts.Bad():
+		attr.setCallersCause(CauseCrashingCalls, "Calls that crash the targets and are kept from them")
 	case attr.ByTarget < 0.5:
-		attr.setCallersCause()
+		attr.setCallersCause(CauseCallers, "Overload by callers above their shares")
 	case counts.Failed*2 >= counts.Bad():
 		attr.Cause = CauseTargetFailing
 		attr.Summary = fmt.Sprintf("The target itself failed: %s of calls got no usable response, and callers stayed within their shares.",
@@ -150,16 +160,15 @@
 	return fmt.Sprintf("only %s of calls were above a share", percent(total.OverShare(), max(total.Entry.Offered, total.Target.Offered)))
 }
 
-// setCallersCause attributes the window to the callers above their shares.
-func (attr *Attribution) setCallersCause() {
-	attr.Cause = CauseCallers
+// setCallersCause attributes the window to callers. text names what they did.
+func (attr *Attribution) setCallersCause(cause Cause, text string) {
+	attr.Cause = cause
 	attr.Named = attr.callersToName()
 	parts := make([]string, 0, len(attr.Named))
 	for _, name := range attr.Named {
 		parts = append(parts, fmt.Sprintf("%s (%.0f%% of the burn)", name, 100*attr.ByCaller[name]))
 	}
-	attr.Summary = fmt.Sprintf("Overload by callers above their shares: %s. The target itself accounts for %.0f%%.",
-		strings.Join(parts, ", "), 100*attr.ByTarget)
+	attr.Summary = fmt.Sprintf("%s: %s. The target itself accounts for %.0f%%.", text, strings.Join(parts, ", "), 100*attr.ByTarget)
 }
 
 // callersToName returns the callers with at least minNamedFraction of the burn, or
--- a/plugins/burn/slo/counts.go
+++ b/plugins/burn/slo/counts.go
@@ -15,7 +15,7 @@
 	// Offered counts all calls except invalid, unauthorized and canceled ones, which
 	// Refused counts.
 	Offered uint64 `json:"offered"`
-	// Good, Slow, Failed, Shed and RateLimited sum up to Offered.
+	// Good, Slow, Failed, Shed, RateLimited and Quarantined sum up to Offered.
 	Good uint64 `json:"good"`
 	// Slow counts responses that took longer than the latency objective.
 	Slow uint64 `json:"slow"`
@@ -26,6 +26,9 @@
 	// RateLimited counts calls above the caller's rate limit. The objective does
 	// not cover them.
 	RateLimited uint64 `json:"rate_limited"`
+	// Quarantined counts calls that were kept from targets because these crash while they run
+	// them.
+	Quarantined uint64 `json:"quarantined"`
 	// OverShare counts calls, admitted or not, that exceeded the caller's fair share
 	// of the target's nominal capacity while capacity was short. Entry nodes count
 	// only those that were rejected for it.
@@ -42,23 +45,24 @@
 	c.Failed += o.Failed
 	c.Shed += o.Shed
 	c.RateLimited += o.RateLimited
+	c.Quarantined += o.Quarantined
 	c.OverShare += o.OverShare
 	c.Refused += o.Refused
 }
 
-// Admitted returns the number of calls that were neither shed nor rate limited.
+// Admitted returns the number of calls that were neither shed, rate limited nor quarantined.
 func (c Counts) Admitted() uint64 {
 	return c.Good + c.Slow + c.Failed
 }
 
 // Eligible returns the number of calls that the objective covers.
 func (c Counts) Eligible() uint64 {
-	return c.Admitted() + c.Shed
+	return c.Admitted() + c.Shed + c.Quarantined
 }
 
 // Bad returns the number of calls that missed the objective.
 func (c Counts) Bad() uint64 {
-	return c.Slow + c.Failed + c.Shed
+	return c.Slow + c.Failed + c.Shed + c.Quarantined
 }
 
 // Class is the result of a call with respect to the objective.
@@ -72,9 +76,10 @@
 	ClassShed
 	ClassRateLimited
 	ClassRefused
+	ClassQuarantined
 )
 
-var classNames = [...]string{"good", "slow", "failed", "shed", "rate-limited", "refused"}
+var classNames = [...]string{"good", "slow", "failed", "shed", "rate-limited", "refused", "quarantined"}
 
 // String returns the name of the class.
 func (c Class) String() string {
@@ -96,6 +101,8 @@
 		return ClassShed
 	case model.ReasonRateLimited:
 		return ClassRateLimited
+	case model.ReasonQuarantined:
+		return ClassQuarantined
 	case model.ReasonUnauthenticated, model.ReasonNotPermitted, model.ReasonNoService, model.ReasonNoRoute,
 		model.ReasonCanceled, model.ReasonTooLarge, model.ReasonBadRequest:
 		return ClassRefused
@@ -132,6 +139,8 @@
 		c.Shed++
 	case ClassRateLimited:
 		c.RateLimited++
+	case ClassQuarantined:
+		c.Quarantined++
 	default:
 		c.Good++
 	}
--- a/plugins/burn/slo/slo_test.go
+++ b/plugins/burn/slo/slo_test.go
@@ -34,6 +34,7 @@
 		{rejected(model.ReasonCanceled), ClassRefused},
 		{rejected(model.ReasonNoTarget), ClassFailed},
 		{rejected(model.ReasonPeerLost), ClassFailed},
+		{rejected(model.ReasonQuarantined), ClassQuarantined},
 	}
 	for _, c := range cases {
 		NewWithT(t).Expect(Classify(c.record, 100*time.Millisecond)).To(Equal(c.class), "%+v", c.record)
@@ -95,6 +96,10 @@
 			"target failing, one caller slightly above its share",
 			Callers{"a": bothSides(500, 0, 500, 100, 100)},
 			CauseTargetFailing, nil, 0.8333, "The target itself failed",
+		}, {
+			"one caller sends calls that crash the target",
+			Callers{"kiosk": {Entry: Counts{Offered: 600, Good: 400, Failed: 20, Quarantined: 180}}, "b": bothSides(1000, 0, 0, 0, 0)},
+			CauseCrashingCalls, []string{"kiosk"}, 0.1, "Calls that crash the targets and are kept from them: kiosk (90% of the burn)",
 		},
 	}
 	for _, c := range cases {
--- a/plugins/forwarding/attempt.go
+++ b/plugins/forwarding/attempt.go
@@ -163,6 +163,7 @@
 	delete(header, "Authorization")
 	hideIdempotencyKeys(header)
 	header[headerHop] = []string{a.hop.encode()}
+	header[headerFingerprint] = []string{a.call.fingerprint.String()}
 	header[model.HeaderRequestID] = []string{a.call.requestID}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil
@@ -201,6 +202,7 @@
 		return a.settle(errors.New("response belongs to another attempt"))
 	}
 	a.peer.setToken(answer.Token, time.Now())
+	a.entry.learnCrashReports(response.Header)
 	if answer.Release != 0 {
 		a.entry.configuration.ObserveRelease(a.peer.id, answer.Release)
 	}
@@ -225,7 +227,7 @@
 // targetFailed reports whether the answer reports a failed target.
 func targetFailed(a hopAnswer) bool {
 	switch a.Reason {
-	case model.ReasonUnreachable, model.ReasonTargetLost:
+	case model.ReasonUnreachable, model.ReasonTargetLost, model.ReasonTargetCrashed:
 		return true
 	default:
 		return false
--- a/plugins/forwarding/call.go
+++ b/plugins/forwarding/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/config"
+	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
 )
@@ -24,6 +25,10 @@
 	body     *requestBody
 	attempts int
 	tried    []model.HostID
+	// fingerprint identifies equal calls. isolated is set while the call may only go to its
+	// isolation target.
+	fingerprint quarantine.Fingerprint
+	isolated    bool
 	// mayHaveRun is the earlier attempt with the strongest evidence that the call
 	// ran, nil if no earlier attempt can have run.
 	mayHaveRun *attemptResult
@@ -76,6 +81,7 @@
 		_ = control.SetReadDeadline(time.Time{}) // as above
 	}
 	c.body = body
+	c.fingerprint = c.identify()
 	return model.ReasonNone
 }
 
--- a/plugins/forwarding/entry.go
+++ b/plugins/forwarding/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/config/ingress"
+	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
 )
@@ -25,6 +26,8 @@
 	peers         *peers
 	budgets       *budgets
 	splitter      *ingress.Splitter
+	// quarantine keeps calls from targets that crash while they run them.
+	quarantine model.Quarantine
 }
 
 // ServeHTTP forwards a caller's request to a target and writes the response.
@@ -60,6 +63,11 @@
 	var sameTarget *model.Member
 	earlier := model.OutcomeNotRun
 	for {
+		verdict := e.verdict(c)
+		if verdict.Action == quarantine.Refuse {
+			return c.finalResult(quarantinedResult(c, last, verdict))
+		}
+		c.isolated = verdict.Action == quarantine.Isolate
 		m, ok := e.pickTarget(ctx, c, sameTarget)
 		if !ok {
 			return c.finalResult(e.noTargetResult(c, last))
@@ -79,6 +87,9 @@
 		case planSameTarget:
 			sameTarget = m
 		case planRetry:
+			if e.verdict(c).Action == quarantine.Refuse {
+				return c.finalResult(result)
+			}
 			if !result.budgetCharged && !e.budgets.withdraw(key) {
 				e.metrics.budgetEmpty.Add(1)
 				return c.finalResult(result)
@@ -102,7 +113,11 @@
 	if err := e.hooks.At(ctx, kernel.HookPickTarget); err != nil {
 		return nil, false
 	}
-	return e.balancer.Pick(model.PickRequest{Service: c.service, Caller: c.caller.Name, Exclude: c.tried, Now: time.Now()})
+	exclude := c.tried
+	if c.isolated {
+		exclude = allButIsolationTarget(c.fingerprint, e.fleet.View().ByService[c.service.Name], c.tried)
+	}
+	return e.balancer.Pick(model.PickRequest{Service: c.service, Caller: c.caller.Name, Exclude: exclude, Now: time.Now()})
 }
 
 // noTargetResult returns the result of a call for which no target is left. If
--- a/plugins/forwarding/headers.go
+++ b/plugins/forwarding/headers.go
@@ -26,6 +26,8 @@
 	headerHop:             true,
 	headerHopAnswer:       true,
 	headerHopLength:       true,
+	headerFingerprint:     true,
+	headerCrashReports:    true,
 	model.HeaderOutcome:   true,
 	model.HeaderReason:    true,
 	model.HeaderRequestID: true,
--- a/plugins/forwarding/mesh_test.go
+++ b/plugins/forwarding/mesh_test.go
@@ -29,6 +29,7 @@
 	"github.com/bronzemast/bronzemast/model"
 	_ "github.com/bronzemast/bronzemast/plugins/balancing"
 	_ "github.com/bronzemast/bronzemast/plugins/draining"
+	_ "github.com/bronzemast/bronzemast/plugins/quarantine"
 	_ "github.com/bronzemast/bronzemast/plugins/transport"
 )
 
--- a/plugins/forwarding/metrics.go
+++ b/plugins/forwarding/metrics.go
@@ -21,6 +21,7 @@
 	crossedAnswers    *expvar.Int
 	abortedAnswers    *expvar.Int
 	badHops           *expvar.Int
+	badCrashReports   *expvar.Int
 	// unknownHeaders counts responses of the target by unknown header.
 	unknownHeaders expvar.Map
 }
@@ -42,6 +43,7 @@
 		crossedAnswers:    counter("crossed_answers"),
 		abortedAnswers:    counter("aborted_answers"),
 		badHops:           counter("bad_hop_headers"),
+		badCrashReports:   counter("bad_crash_reports"),
 	}
 	m.Set("unknown_headers", all.unknownHeaders.Init())
 	for i := range all.entryOutcomes {
--- a/plugins/forwarding/setup.go
+++ b/plugins/forwarding/setup.go
@@ -14,6 +14,7 @@
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/finding"
 	"github.com/bronzemast/bronzemast/internal/jsonc"
+	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/internal/unknownheader"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
@@ -23,7 +24,7 @@
 	kernel.Register(kernel.Registration{
 		Name:     "forwarding",
 		Profile:  kernel.ProfileFleet,
-		Requires: []string{"transport", "distribution", "membership", "balancing", "admission", "draining", "burn"},
+		Requires: []string{"transport", "distribution", "membership", "balancing", "admission", "draining", "burn", "quarantine"},
 		New:      func() kernel.Plugin { return newForwarding() },
 	})
 }
@@ -101,6 +102,7 @@
 	admitter      model.Admitter
 	drainer       model.Drainer
 	recorder      model.Recorder
+	quarantine    model.Quarantine
 }
 
 // Provision reads the settings and registers both roles with the listeners.
@@ -120,6 +122,7 @@
 	d.transport.HandlePeer("GET "+pathToken, http.HandlerFunc(f.targetSide.serveToken))
 	d.transport.HandlePeer("POST "+pathInquire, http.HandlerFunc(f.targetSide.serveInquiry))
 	d.fleet.Subscribe(f.entry.peers.retain)
+	d.quarantine.SetPeers(func() []string { return peerAddresses(d.fleet.View()) })
 	return nil
 }
 
@@ -133,6 +136,7 @@
 		func() (err error) { d.admitter, err = kernel.Lookup[model.Admitter](ctx); return },
 		func() (err error) { d.drainer, err = kernel.Lookup[model.Drainer](ctx); return },
 		func() (err error) { d.recorder, err = kernel.Lookup[model.Recorder](ctx); return },
+		func() (err error) { d.quarantine, err = kernel.Lookup[model.Quarantine](ctx); return },
 	} {
 		if err := lookup(); err != nil {
 			return d, err
@@ -156,12 +160,14 @@
 		peers:         newPeers(d.transport, f.settings.ConnectTimeout.Std()),
 		budgets:       newBudgets(f.settings.UnlimitedRetries),
 		splitter:      &ingress.Splitter{},
+		quarantine:    d.quarantine,
 	}
 }
 
 func (f *Forwarding) newTargetSide(ctx *kernel.Context, d dependencies, m *metrics) *targetSide {
 	tokenAge := f.settings.TokenAge.Std()
 	retention := tokenAge + config.MaxDeadline + retentionSlack
+	crashes := quarantine.NewDetector()
 	return &targetSide{
 		settings:      &f.settings,
 		host:          ctx.Host(),
@@ -172,11 +178,15 @@
 		admitter:      d.admitter,
 		recorder:      d.recorder,
 		transport:     d.transport,
-		target:        newTarget(ctx.NodeSettings().TargetAddress, d.transport.DialTarget),
+		target:        newTarget(ctx.NodeSettings().TargetAddress, reportReached(crashes, d.transport.DialTarget)),
 		unknownHeaders: &unknownheader.Recorder{Counts: &m.unknownHeaders, OnNew: func(name string) {
 			ctx.Log().Emit(eventUnknownHeader, event.Fields{"header": name})
 		}},
 		processStart: time.Now(),
+		quarantine:   d.quarantine,
+		crashes:      crashes,
+		isolation:    quarantine.NewIsolation(),
+		log:          ctx.Log(),
 		ledger:       newLedger(ctx.Incarnation(), f.settings.LedgerEntries, tokenAge, retention),
 	}
 }
--- a/plugins/forwarding/status.go
+++ b/plugins/forwarding/status.go
@@ -31,6 +31,8 @@
 	model.ReasonBadRequest:      http.StatusBadRequest,
 	model.ReasonTargetRefused:   http.StatusServiceUnavailable,
 	model.ReasonTargetLost:      http.StatusBadGateway,
+	model.ReasonTargetCrashed:   http.StatusBadGateway,
+	model.ReasonQuarantined:     http.StatusServiceUnavailable,
 	model.ReasonPeerLost:        http.StatusBadGateway,
 	model.ReasonRetryBudget:     http.StatusServiceUnavailable,
 }
--- a/plugins/forwarding/targetside.go
+++ b/plugins/forwarding/targetside.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/config"
+	"github.com/bronzemast/bronzemast/event"
+	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/internal/unknownheader"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
@@ -30,6 +32,10 @@
 	// unknownHeaders counts the headers of the target that this program does not know.
 	unknownHeaders *unknownheader.Recorder
 	processStart   time.Time
+	quarantine     model.Quarantine
+	crashes        *quarantine.Detector
+	isolation      *quarantine.Isolation
+	log            *event.Log
 
 	mu     sync.Mutex
 	ledger *ledger
@@ -43,7 +49,11 @@
 	startTime time.Time
 	deadline  time.Time
 	// inLedger is set once the ledger has an entry for the attempt.
-	inLedger    bool
+	inLedger bool
+	// fingerprint identifies equal calls, zero if the entry node did not send it. run is set
+	// while the target runs the call.
+	fingerprint quarantine.Fingerprint
+	run         *quarantine.Run
 	serviceTime time.Duration
 	overShare   bool
 }
@@ -61,7 +71,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	in := &inbound{hop: h, request: r, startTime: time.Now()}
+	in := &inbound{hop: h, request: r, startTime: time.Now(), fingerprint: callFingerprint(r.Header)}
 	reply := t.admitAndRun(w, in)
 	if reply != nil {
 		t.writeLocalReply(w, in, reply)
@@ -138,6 +148,11 @@
 	}
 	ctx, cancel := context.WithDeadline(in.request.Context(), in.deadline)
 	defer cancel()
+	guard := t.newGuard(in)
+	if retryAfter, ok := guard.Enter(ctx, 0, time.Until(in.deadline)/2); !ok {
+		return quarantinedReply(retryAfter)
+	}
+	defer guard.Leave()
 	permit, rejection := t.admitter.Admit(ctx, model.AdmissionRequest{
 		Snapshot: snapshot,
 		Service:  in.service,
@@ -151,7 +166,7 @@
 		return &localReply{outcome: model.OutcomeNotRun, reason: rejection.Reason, retryAfter: rejection.RetryAfter}
 	}
 	in.overShare = permit.OverShare()
-	result, localReply := t.runAdmitted(ctx, w, in)
+	result, localReply := t.runAdmitted(ctx, w, in, guard)
 	permit.Done(result)
 	if localReply == nil && result.Failed {
 		panic(http.ErrAbortHandler) // the response was truncated after its head
@@ -185,19 +200,30 @@
 	t.ledger.settle(in.hop.Attempt, state, t.now())
 }
 
-func (t *targetSide) runAdmitted(ctx context.Context, w http.ResponseWriter, in *inbound) (model.AdmissionResult, *localReply) {
+func (t *targetSide) runAdmitted(ctx context.Context, w http.ResponseWriter, in *inbound, guard *quarantine.Guard) (model.AdmissionResult, *localReply) {
+	if retryAfter, ok := guard.Check(); !ok {
+		return model.AdmissionResult{}, quarantinedReply(retryAfter)
+	}
 	if reply := t.start(ctx, in); reply != nil {
 		return model.AdmissionResult{}, reply
 	}
 	startTime := time.Now()
+	in.run = t.crashes.Started(in.fingerprint)
+	completed := false
+	defer func() { t.runEnded(in, completed) }()
 	response, dispatched, err := t.target.call(ctx, in)
 	if err != nil {
 		if errors.Is(err, errCrossedAnswer) {
 			t.metrics.crossedAnswers.Add(1)
 		}
 		in.serviceTime = time.Since(startTime)
-		return model.AdmissionResult{ServiceTime: in.serviceTime, Failed: true}, t.errorReply(ctx, in, dispatched)
+		reply := t.errorReply(ctx, in, dispatched)
+		if reply.reason == model.ReasonTargetLost && !errors.Is(err, errCrossedAnswer) && t.targetCrashed(ctx) {
+			reply.reason = model.ReasonTargetCrashed
+		}
+		return model.AdmissionResult{ServiceTime: in.serviceTime, Failed: true}, reply
 	}
+	t.crashes.Reached()
 	defer response.Body.Close()
 	t.unknownHeaders.Record(unknownheader.Names(response.Header, []string{targetHeaderPrefix}, []string{headerTargetShed}))
 	if declaresShed(response) {
@@ -211,6 +237,7 @@
 	}
 	err = t.relayResponse(ctx, w, in, response)
 	in.serviceTime = time.Since(startTime)
+	completed = err == nil
 	t.record(in, model.OutcomeRan, model.ReasonNone, response.StatusCode)
 	return model.AdmissionResult{ServiceTime: in.serviceTime, Failed: err != nil}, nil
 }
@@ -280,6 +307,7 @@
 	}
 	status := localReplyStatus(r.outcome, r.reason)
 	t.setHopAnswer(w.Header(), in, r)
+	t.setCrashReports(w.Header(), in, r.reason)
 	w.Header()["Content-Length"] = []string{"0"}
 	w.WriteHeader(status)
 	t.record(in, r.outcome, r.reason, status)
--- a/plugins/operator/state.go
+++ b/plugins/operator/state.go
@@ -31,6 +31,9 @@
 	if drainer, err := kernel.Lookup[model.Drainer](o.ctx); err == nil {
 		status.Stage = drainer.Stage().String()
 	}
+	if held, err := kernel.Lookup[model.Quarantine](o.ctx); err == nil {
+		status.Held = held.Held()
+	}
 	return status, nil
 }
 
--- a/plugins/quarantine/fleet_test.go
+++ b/plugins/quarantine/fleet_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"expvar"
-	"net/netip"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,8 +28,10 @@
 // simulatedFleet is a fleet whose nodes exchange messages in memory.
 type simulatedFleet struct {
 	ctx   context.Context
+	peers []string
+
+	mu    sync.Mutex
 	nodes []*Quarantine
-	peers []netip.AddrPort
 	// reachable reports whether a message from one node gets to another one.
 	reachable func(from, to int) bool
 }
@@ -37,7 +39,7 @@
 func newSimulatedFleet(ctx context.Context, size int) *simulatedFleet {
 	f := &simulatedFleet{ctx: ctx, nodes: make([]*Quarantine, size), reachable: func(int, int) bool { return true }}
 	for i := range size {
-		f.peers = append(f.peers, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7001))
+		f.peers = append(f.peers, strconv.Itoa(i))
 	}
 	for i := range size {
 		f.start(i)
@@ -52,21 +54,43 @@
 	q.metrics = newMetrics(new(expvar.Map).Init())
 	q.table = quarantine.NewTable(q.settings.limits())
 	q.self = f.peers[i]
-	q.SetPeers(func() []netip.AddrPort { return f.peers })
+	q.SetPeers(func() []string { return f.peers })
 	q.startTask = func(_ string, run func(context.Context)) { go run(f.ctx) }
-	q.send = func(ctx context.Context, peer netip.AddrPort, m *message) (*message, error) {
-		address := peer.Addr().As4()
-		to := int(address[2])<<8 | int(address[3])
+	q.send = func(ctx context.Context, peer string, m *message) (*message, error) {
+		to, err := strconv.Atoi(peer)
+		if err != nil {
+			return nil, err
+		}
 		time.Sleep(messageDelay)
-		if !f.reachable(i, to) || f.nodes[to] == nil {
+		receiver := f.receiver(i, to)
+		if receiver == nil {
 			return nil, errors.New("unreachable")
 		}
-		return f.nodes[to].receive(m, f.peers[i].String()), nil
+		return receiver.receive(m, f.peers[i]), nil
 	}
+	f.mu.Lock()
 	f.nodes[i] = q
+	f.mu.Unlock()
 	_ = q.Start(f.ctx) // never fails
 }
 
+// receiver returns the node that gets a message, nil if it does not arrive.
+func (f *simulatedFleet) receiver(from, to int) *Quarantine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.reachable(from, to) {
+		return nil
+	}
+	return f.nodes[to]
+}
+
+// connect sets which messages arrive.
+func (f *simulatedFleet) connect(reachable func(from, to int) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reachable = reachable
+}
+
 // refusing returns the number of nodes that refuse the guilty request.
 func (f *simulatedFleet) refusing() int {
 	n := 0
@@ -129,7 +153,7 @@
 
 func TestANodeThatStartsAloneIsReadyAfterAWhile(t *testing.T) {
 	simulate(t, 3, func(g *WithT, f *simulatedFleet) {
-		f.reachable = func(int, int) bool { return false }
+		f.connect(func(int, int) bool { return false })
 		f.start(1)
 		time.Sleep(startTimeout + startRetry + messageDelay)
 		g.Expect(f.nodes[1].Synchronized()).To(Succeed())
@@ -139,11 +163,11 @@
 func TestNodesThatWereCutOffKnowWithinTheWindowAfterwards(t *testing.T) {
 	simulate(t, 60, func(g *WithT, f *simulatedFleet) {
 		cut := func(i int) bool { return i%2 == 0 }
-		f.reachable = func(from, to int) bool { return cut(from) == cut(to) }
+		f.connect(func(from, to int) bool { return cut(from) == cut(to) })
 		f.crashAt(0, 1, 3)
 		time.Sleep(knownWithin)
 		g.Expect(f.refusing()).To(BeNumerically("<", 60), "no side has seen all crashes long ago")
-		f.reachable = func(int, int) bool { return true }
+		f.connect(func(int, int) bool { return true })
 		time.Sleep(knownWithin)
 		g.Expect(f.refusing()).To(Equal(60))
 	})
@@ -151,7 +175,7 @@
 
 func TestANodeThatSeesHalfOfTheOthersGetsTheNews(t *testing.T) {
 	simulate(t, 40, func(g *WithT, f *simulatedFleet) {
-		f.reachable = func(from, to int) bool { return from != 7 && to != 7 || (from+to)%2 == 0 }
+		f.connect(func(from, to int) bool { return from != 7 && to != 7 || (from+to)%2 == 0 })
 		f.crashAt(0, 2, 4)
 		time.Sleep(knownWithin)
 		g.Expect(f.refusing()).To(Equal(40))
--- a/plugins/quarantine/held.go
+++ b/plugins/quarantine/held.go
@@ -5,6 +5,7 @@
 
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/internal/quarantine"
+	"github.com/bronzemast/bronzemast/model"
 )
 
 // The sources of evidence as logged, besides the addresses of peers.
@@ -64,15 +65,28 @@
 	}
 }
 
+// Held implements model.Quarantine.
+func (q *Quarantine) Held() []model.HeldRequest {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var requests []model.HeldRequest
+	for _, held := range q.table.Held(time.Now()) {
+		requests = append(requests, model.HeldRequest{
+			Fingerprint: held.Fingerprint.String(),
+			Crashes:     held.Crashes,
+			Since:       held.Since,
+			Until:       held.Until,
+		})
+	}
+	return requests
+}
+
 // heldAges returns for how long each refused request has been refused, in seconds, by
 // fingerprint.
 func (q *Quarantine) heldAges() map[string]float64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := time.Now()
 	ages := map[string]float64{}
-	for _, held := range q.table.Held(now) {
-		ages[held.Fingerprint.String()] = now.Sub(held.Since).Seconds()
+	for _, held := range q.Held() {
+		ages[held.Fingerprint] = time.Since(held.Since).Seconds()
 	}
 	return ages
 }
--- a/plugins/quarantine/peer.go
+++ b/plugins/quarantine/peer.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/bronzemast/bronzemast/event"
@@ -50,14 +49,14 @@
 func (c *peerClient) close() { c.http.CloseIdleConnections() }
 
 // exchange sends a message to a peer and returns the peer's.
-func (c *peerClient) exchange(ctx context.Context, peer netip.AddrPort, m *message) (*message, error) {
+func (c *peerClient) exchange(ctx context.Context, peer string, m *message) (*message, error) {
 	data, err := cbor.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the message")
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.String()+pathQuarantine, bytes.NewReader(data))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+pathQuarantine, bytes.NewReader(data))
 	if err != nil {
 		return nil, err
 	}
@@ -114,12 +113,12 @@
 }
 
 // exchange sends a message to a peer. It logs a failure and returns nil then.
-func (q *Quarantine) exchange(ctx context.Context, peer netip.AddrPort, m *message) *message {
+func (q *Quarantine) exchange(ctx context.Context, peer string, m *message) *message {
 	q.metrics.sent.Add(1)
 	reply, err := q.send(ctx, peer, m)
 	if err != nil {
 		q.metrics.failures.Add(1)
-		q.log.Emit(eventPeerFailed, event.Fields{"peer": peer.String(), "error": err.Error()})
+		q.log.Emit(eventPeerFailed, event.Fields{"peer": peer, "error": err.Error()})
 		return nil
 	}
 	return reply
--- a/plugins/quarantine/setup.go
+++ b/plugins/quarantine/setup.go
@@ -8,7 +8,6 @@
 	"expvar"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,9 +79,9 @@
 	startTask func(name string, run func(ctx context.Context))
 	client    *peerClient
 	// send sends a message to a peer and returns the peer's.
-	send  func(ctx context.Context, peer netip.AddrPort, m *message) (*message, error)
-	self  netip.AddrPort
-	peers func() []netip.AddrPort
+	send  func(ctx context.Context, peer string, m *message) (*message, error)
+	self  string
+	peers func() []string
 	// news holds requests about which the other nodes are to be told.
 	news *kernel.Ring[quarantine.Fingerprint]
 
@@ -103,7 +102,7 @@
 func newQuarantine() *Quarantine {
 	return &Quarantine{
 		settings: defaults(),
-		peers:    func() []netip.AddrPort { return nil },
+		peers:    func() []string { return nil },
 		news:     kernel.NewRing[quarantine.Fingerprint](newsCapacity, kernel.DropOldest),
 		held:     map[quarantine.Fingerprint]quarantine.Held{},
 	}
@@ -122,9 +121,7 @@
 	if err != nil {
 		return err
 	}
-	if q.self, err = netip.ParseAddrPort(ctx.Host().PeerAddress); err != nil {
-		return err
-	}
+	q.self = ctx.Host().PeerAddress
 	q.client = newPeerClient(transport.DialPeer)
 	q.send = q.client.exchange
 	transport.HandlePeer("POST "+pathQuarantine, http.HandlerFunc(q.servePeer))
@@ -151,7 +148,7 @@
 }
 
 // SetPeers implements model.Quarantine.
-func (q *Quarantine) SetPeers(peers func() []netip.AddrPort) { q.peers = peers }
+func (q *Quarantine) SetPeers(peers func() []string) { q.peers = peers }
 
 // Empty implements model.Quarantine.
 func (q *Quarantine) Empty() bool { return q.records.Load() == 0 }
--- a/plugins/quarantine/spread.go
+++ b/plugins/quarantine/spread.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -69,8 +68,8 @@
 
 // choosePeers returns all other nodes if there are at most all of them, else n of them, chosen
 // by random.
-func (q *Quarantine) choosePeers(n, all int) []netip.AddrPort {
-	peers := slices.DeleteFunc(slices.Clone(q.peers()), func(p netip.AddrPort) bool { return p == q.self })
+func (q *Quarantine) choosePeers(n, all int) []string {
+	peers := slices.DeleteFunc(slices.Clone(q.peers()), func(p string) bool { return p == q.self })
 	if len(peers) <= all {
 		return peers
 	}
@@ -143,7 +142,7 @@
 
 // askAny synchronizes with all of the peers at once. It returns when one of them has answered,
 // or false if none has.
-func (q *Quarantine) askAny(ctx context.Context, peers []netip.AddrPort) bool {
+func (q *Quarantine) askAny(ctx context.Context, peers []string) bool {
 	answered := make(chan bool, len(peers))
 	for _, peer := range peers {
 		go func() { answered <- q.synchronizeWithPeer(ctx, peer).answered }()
@@ -165,7 +164,7 @@
 }
 
 // synchronizeWith synchronizes with all of the peers at once.
-func (q *Quarantine) synchronizeWith(ctx context.Context, peers []netip.AddrPort) (differed, changed bool) {
+func (q *Quarantine) synchronizeWith(ctx context.Context, peers []string) (differed, changed bool) {
 	results := make(chan syncResult, len(peers))
 	for _, peer := range peers {
 		go func() { results <- q.synchronizeWithPeer(ctx, peer) }()
@@ -180,14 +179,14 @@
 
 // synchronizeWithPeer compares the digests of both nodes and, if they differ, exchanges all
 // reports.
-func (q *Quarantine) synchronizeWithPeer(ctx context.Context, peer netip.AddrPort) syncResult {
+func (q *Quarantine) synchronizeWithPeer(ctx context.Context, peer string) syncResult {
 	digest := q.digest()
 	reply := q.exchange(ctx, peer, &message{Synchronize: true, Digest: digest})
 	if reply == nil {
 		return syncResult{}
 	}
 	result := syncResult{answered: true, differed: reply.Digest != digest}
-	result.changed = q.merge(reply.Reports, peer.String()) > 0
+	result.changed = q.merge(reply.Reports, peer) > 0
 	digest = q.digest()
 	if digest == reply.Digest || q.Empty() {
 		return result
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -184,7 +184,7 @@
 
 		quarantine: held,
 	}
-	held.SetPeers(func() []netip.AddrPort { return peerAddresses(replica.Targets(), peer.Port()) })
+	held.SetPeers(func() []string { return peerAddresses(replica.Targets(), peer.Port()) })
 	s.targetSide.onNested = s.entry.stats.recordNested
 	s.entry.stats.departures = s.targetSide.departures
 	s.entry.stats.fleetSize = hosts
@@ -229,13 +229,13 @@
 }
 
 // peerAddresses returns the peer addresses of the listed hosts, nil if there are none.
-func peerAddresses(list *model.TargetList, port uint16) []netip.AddrPort {
+func peerAddresses(list *model.TargetList, port uint16) []string {
 	if len(list.Hosts) == 0 {
 		return nil
 	}
-	peers := make([]netip.AddrPort, len(list.Hosts))
+	peers := make([]string, len(list.Hosts))
 	for i, host := range list.Hosts {
-		peers[i] = netip.AddrPortFrom(host.Address, port)
+		peers[i] = netip.AddrPortFrom(host.Address, port).String()
 	}
 	return peers
 }
--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -110,7 +110,7 @@
 // that is not signed by the target, or any that is content-encoded, counts as lost.
 func (s *targetSide) readAnswer(ctx context.Context, inst *instance, h *handover, response *http.Response, start time.Time) *answer {
 	inst.recordAnswer()
-	inst.crashes.Answered()
+	inst.crashes.Reached()
 	head := s.exchange.ParseResponse(response.StatusCode, response.Header)
 	s.updateIdleTimeout(inst, response.Header)
 	if !head.WrongTarget {
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -185,18 +185,24 @@
 	defer s.mu.Unlock()
 	inst := s.instances[id]
 	if inst == nil {
-		inst = newInstance(1, s.pool())
+		inst = newInstance(1, nil)
+		inst.pool = s.pool(inst.crashes)
 		s.instances[id] = inst
 	}
 	return inst
 }
 
-func (s *targetSide) pool() *httpconn.Pool {
+// pool returns a pool of connections to the target, which tells crashes when one is opened.
+func (s *targetSide) pool(crashes *quarantine.Detector) *httpconn.Pool {
 	address := s.address.String()
 	dial := func(ctx context.Context) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, s.settings.Load().ConnectTimeout.Std())
 		defer cancel()
-		return s.dial(ctx, address)
+		connection, err := s.dial(ctx, address)
+		if err == nil {
+			crashes.Reached()
+		}
+		return connection, err
 	}
 	return httpconn.NewPool(dial, maxIdleToTarget, s.settings.Load().TargetIdle.Std())
 }
