--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -87,8 +87,13 @@
 
 // send sends a request to the node of a host and records the request with its reply.
 func (r *runner) send(h *host, client *http.Client, method, path string) sidecarfleet.Reply {
+	return r.sendBody(h, client, method, path, "body")
+}
+
+// sendBody sends a request with a body like send.
+func (r *runner) sendBody(h *host, client *http.Client, method, path, body string) sidecarfleet.Reply {
 	q := request{path: path, host: h.Index, incarnation: int(h.starts.Load()), sent: time.Now()}
-	q.reply = h.Send(client, method, path, "body")
+	q.reply = h.Send(client, method, path, body)
 	q.ended = time.Now()
 	r.recorder.addRequest(q)
 	return q.reply
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -57,6 +57,8 @@
 		r.actOnWorker(ctx, e, h)
 	case kindConfigure, kindStorm, kindMistake:
 		r.actOnConfiguration(ctx, e)
+	case kindFatalRequest:
+		r.sendFatal(ctx, e)
 	}
 }
 
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -52,6 +52,7 @@
 	faults   []*faultInterval
 	drains   []workerDrain
 	limits   []workerLimit
+	crashes  []crashRecord
 	configs  []publication
 	events   map[eventKind]int
 	// problems are the faults found that no promise covers.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -142,6 +142,7 @@
 	rec.checkLimits()
 	rec.checkLeavings(c)
 	rec.checkWorkers()
+	rec.checkFatal()
 	result := &Result{
 		Seed:            r.options.Seed,
 		Hosts:           len(r.hosts),
--- a/internal/soak/runner.go
+++ b/internal/soak/runner.go
@@ -127,7 +127,7 @@
 func (r *runner) startWorker(h *host) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err := h.StartWorker(r.recorder.addRun); err != nil {
+	if err := h.StartWorker(r.observeRun); err != nil {
 		return err
 	}
 	r.recorder.addWorker(h.Worker)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -58,11 +58,13 @@
 	kindStoreRestore
 	// kindWorkerLimit makes a worker name a limit on its requests.
 	kindWorkerLimit
+	// kindFatalRequest sends a request that crashes the workers that run it.
+	kindFatalRequest
 )
 
-// laterKinds are the faults that are scheduled by a random sequence of their own, so that
+// laterKinds are groups of faults. Each is scheduled by a random sequence of its own, so that
 // the other events of a seed stay as they were.
-var laterKinds = []eventKind{kindStoreRestore, kindWorkerLimit}
+var laterKinds = [][]eventKind{{kindStoreRestore, kindWorkerLimit}, {kindFatalRequest}}
 
 // isFault reports whether events of the kind are faults and not planned work.
 func (k eventKind) isFault() bool { return k < plannedBoundary || k > kindCount }
@@ -73,6 +75,7 @@
 	kindStoreCompact: "store-compact", kindStoreCut: "store-cut", kindWorkerCrash: "worker-crash", kindWorkerFails: "worker-fails",
 	kindStop: "stop", kindHangup: "hangup", kindConfigure: "configure", kindStorm: "storm", kindMistake: "mistake",
 	kindReplace: "replace", kindStoreRestore: "store-restore", kindWorkerLimit: "worker-limit",
+	kindFatalRequest: "fatal-request",
 }
 
 // String returns the name of the kind.
@@ -84,6 +87,17 @@
 	return k == kindStoreFault || k == kindStoreSlow || k == kindStoreCompact || k == kindStoreRestore
 }
 
+// concernsNodes reports whether a fault of the kind stops nodes or disturbs the links between
+// them.
+func (k eventKind) concernsNodes() bool {
+	switch k {
+	case kindKill, kindHerdKill, kindPause, kindCut, kindSilence, kindSilenceOpen, kindDelay:
+		return true
+	default:
+		return false
+	}
+}
+
 // event is a fault or a piece of planned work that is injected into the fleet.
 type event struct {
 	kind eventKind
@@ -133,7 +147,9 @@
 		}
 	}
 	if !o.PlannedOnly && o.OlderBinary == "" {
-		events = append(events, laterEvents(o)...)
+		for i, kinds := range laterKinds {
+			events = append(events, laterEvents(o, uint64(i), kinds)...)
+		}
 	}
 	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.offset, b.offset) })
 	return events
@@ -142,10 +158,10 @@
 // meanLaterGap is the mean time between two events of laterKinds.
 const meanLaterGap = 3 * time.Second
 
-// laterEvents returns the events of laterKinds.
-func laterEvents(o *Options) []event {
+// laterEvents returns the events of a group of laterKinds.
+func laterEvents(o *Options, group uint64, kinds []eventKind) []event {
 	const sequence = 1 << 32 // differs from all numbers of hosts
-	random := rand.New(rand.NewPCG(o.Seed, sequence))
+	random := rand.New(rand.NewPCG(o.Seed, sequence+group))
 	var events []event
 	for offset := time.Duration(0); ; {
 		offset += time.Duration(random.ExpFloat64() * float64(meanLaterGap))
@@ -153,7 +169,7 @@
 			return events
 		}
 		events = append(events, event{
-			kind:     laterKinds[random.IntN(len(laterKinds))],
+			kind:     kinds[random.IntN(len(kinds))],
 			offset:   offset,
 			duration: time.Duration(random.Int64N(int64(maxEventDuration))) + 50*time.Millisecond,
 			host:     random.IntN(o.Hosts),
