Matrix: calls that crash the targets that run them

The fault fatal-call sends such a call at all hosts in turn for ten seconds; targets that run it end and are back after a second.

--- a/internal/observe/callers.go
+++ b/internal/observe/callers.go
@@ -135,7 +135,11 @@
 
 // Call sends one call, waits for its response and reports both to the checker.
 func (c *Callers) Call(entry model.Host, f Flow) invariant.Response {
-	id := fmt.Sprintf("call-%d", c.next.Add(1))
+	return c.CallWithID(fmt.Sprintf("call-%d", c.next.Add(1)), entry, f)
+}
+
+// CallWithID is like Call, with an ID that no other call has.
+func (c *Callers) CallWithID(id string, entry model.Host, f Flow) invariant.Response {
 	c.options.Checker.Sent(invariant.Call{
 		ID: id, Caller: f.Caller, Service: f.Service, Idempotent: f.Idempotent, Permitted: f.Permitted,
 	})
--- a/internal/simfleet/fleet.go
+++ b/internal/simfleet/fleet.go
@@ -64,11 +64,14 @@
 // Node is a host of the fleet with its running node, if there is one.
 type Node struct {
 	Host model.Host
-	// target is the address of the target, empty if there is none.
-	target string
+	// target is the address of the target, empty if there is none, and handler what it serves.
+	target  string
+	handler http.Handler
 
 	mu   sync.Mutex
 	node *bronzemast.Node
+	// targetServer is the running target, nil if there is none.
+	targetServer *http.Server
 }
 
 // Running returns the running node, or nil if there is none.
@@ -118,13 +121,40 @@
 			continue
 		}
 		n.target = fmt.Sprintf("10.1.%d.%d:8000", i/200, 1+i%200)
-		if err := f.serve(string(host.ID), n.target, o.Target(host)); err != nil {
+		n.handler = o.Target(host)
+		if err := f.StartTarget(host.ID); err != nil {
 			return nil, err
 		}
 	}
 	return f, nil
 }
 
+// StartTarget starts the target of a host.
+func (f *Fleet) StartTarget(id model.HostID) error {
+	n := f.nodes[id]
+	server, err := serve(f.Network, string(id), n.target, n.handler)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.targetServer = server
+	return nil
+}
+
+// StopTarget ends the target of a host as a crash does: its connections end, and it accepts no
+// more. It does nothing if the target does not run.
+func (f *Fleet) StopTarget(id model.HostID) {
+	n := f.nodes[id]
+	n.mu.Lock()
+	server := n.targetServer
+	n.targetServer = nil
+	n.mu.Unlock()
+	if server != nil {
+		_ = server.Close() // the listener is closed even if an error is returned
+	}
+}
+
 func (f *Fleet) serve(host, address string, handler http.Handler) error {
 	server, err := serve(f.Network, host, address, handler)
 	if err != nil {
@@ -260,6 +290,9 @@
 			_ = f.Kill(id) // fails only without a running node
 		}
 	}
+	for id := range f.nodes {
+		f.StopTarget(id)
+	}
 	for _, s := range f.servers {
 		_ = s.Close()
 	}
--- a/test/matrix/env_test.go
+++ b/test/matrix/env_test.go
@@ -62,6 +62,7 @@
 	lastHealed       time.Time
 	scenarioFailures []string
 	injector         *injector
+	fatal            fatalCalls
 	pending          atomic.Int64
 }
 
@@ -164,6 +165,7 @@
 		Seed:      seed + uint64(len(e.targets)),
 		OnStart: func(call string, at time.Time) {
 			e.checker.Executed(invariant.Execution{CallID: call, Host: id, At: at})
+			e.observeFatal(call, id, at)
 		},
 	})
 	e.targets[id] = t
--- a/test/matrix/faults_test.go
+++ b/test/matrix/faults_test.go
@@ -79,6 +79,7 @@
 	{name: "target-crash", begin: beginTarget(crash), end: endTarget, duration: faultTime, notApplicable: callStepsOnly},
 	{name: "target-overload", begin: beginTarget(overload), end: endTarget, duration: faultTime, notApplicable: callStepsOnly},
 	{name: "target-lies", begin: beginTarget(misreport), end: endTarget, duration: faultTime, notApplicable: callStepsOnly},
+	{name: "fatal-call", begin: beginFatalCalls, end: endFatalCalls, duration: fatalTime, notApplicable: callStepsOnly},
 }
 
 func callStepsOnly(s step) string {
