An item or a release that makes a node panic is refused like one that cannot be read

All nodes read the same entries of the store and the same releases, and read them again after a restart. A panic in the decoder or the compiler ended the task and so the node, one after the other and for good.

Change: the panic becomes the error of that item, with its stack in the event, or a finding of that release. What is in force stays.

--- a/plugins/distribution/engine_test.go
+++ b/plugins/distribution/engine_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/config"
+	"github.com/bronzemast/bronzemast/finding"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/distribution/wire"
 	. "github.com/onsi/gomega"
@@ -456,3 +457,22 @@
 		s.g.Expect(n.engine.metrics.deltasSent.Value()).To(BeZero())
 	}
 }
+
+func TestAReleaseThatMakesTheCompilerPanicIsRefused(t *testing.T) {
+	releases := chain(3)
+	s := startedSimulation(t, 6, 12, 2, releases[0])
+	for _, n := range s.nodes {
+		compile := n.engine.compile
+		n.engine.compile = func(r *config.Release) (*config.Snapshot, *finding.List) {
+			if r.Record.Number == 2 {
+				panic("compiler fault")
+			}
+			return compile(r)
+		}
+	}
+	s.publish(releases[1])
+	s.run(3 * time.Second)
+	s.g.Expect(s.allAt(1)()).To(BeTrue())
+	s.publish(releases[2])
+	s.runUntil(10*time.Second, s.allAt(3))
+}
--- a/plugins/distribution/release.go
+++ b/plugins/distribution/release.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"runtime/debug"
 	"time"
 
 	"github.com/bronzemast/bronzemast/config"
@@ -211,7 +212,7 @@
 	if err := e.runHook(kernel.HookCompile); err != nil {
 		return false
 	}
-	snapshot, findings := e.compile(r.release)
+	snapshot, findings := e.compileWithoutPanic(r.release)
 	if findings.Failed() || snapshot == nil {
 		e.refuseRelease(r, findings, via)
 		return false
@@ -293,3 +294,16 @@
 		"via":      via,
 	})
 }
+
+// compileWithoutPanic compiles a release and returns a panic as a finding. All nodes compile the
+// same releases, again after a restart, so that a fault of the compiler would end all of them for
+// good.
+func (e *engine) compileWithoutPanic(release *config.Release) (snapshot *config.Snapshot, findings *finding.List) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			snapshot, findings = nil, &finding.List{}
+			findings.Errorf(finding.Place{}, "the compiler panicked: %v\n%s", cause, debug.Stack())
+		}
+	}()
+	return e.compile(release)
+}
--- a/plugins/replica/apply.go
+++ b/plugins/replica/apply.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"runtime/debug"
 	"time"
 
 	"github.com/bronzemast/bronzemast/config/ingress"
@@ -98,7 +99,7 @@
 	if item.Removed {
 		return // the configuration in force remains until there is a later one
 	}
-	table, err := r.compile(item)
+	table, err := withoutPanic(item, r.compile)
 	if err != nil {
 		r.metrics.refused.Add(1)
 		r.log.Emit(eventRefused, event.Fields{"revision": item.Position, "via": via, "error": err.Error()})
@@ -113,6 +114,17 @@
 	})
 }
 
+// withoutPanic reads an item and returns a panic as an error. All nodes read the same items, again
+// after a restart, so that a fault in reading one would end all of them for good.
+func withoutPanic[T any](item model.Item, read func(model.Item) (T, error)) (value T, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Errorf("reading %q panicked: %v\n%s", item.Key, cause, debug.Stack())
+		}
+	}()
+	return read(item)
+}
+
 // compile decodes and compiles a configuration. It fails if its number is lower than that
 // of the configuration in force.
 func (r *Replica) compile(item model.Item) (*ingress.Table, error) {
@@ -142,7 +154,7 @@
 		r.log.Emit(eventTarget, fields)
 		return
 	}
-	target, err := r.decoder.Target(item)
+	target, err := withoutPanic(item, r.decoder.Target)
 	if err != nil {
 		r.metrics.unreadable.Add(1)
 		r.log.Emit(eventEntry, event.Fields{"revision": item.Position, "error": err.Error()})
