--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -8,8 +8,8 @@
 
 // Detector tells the crash of a target from the loss of single connections, and names the
 // requests that a crash may be due to. A target has crashed if a connection with a request on it
-// ends without an answer and the target then refuses a new one. The connection attempt is left
-// to the caller. A Detector is safe for concurrent use.
+// ends without an answer and the target then refuses a new one. A Detector is safe for concurrent
+// use.
 type Detector struct {
 	mu sync.Mutex
 	// running holds the requests that the target has been sent and has not answered.
@@ -18,7 +18,7 @@
 	completed Completed
 	// check is the check after the latest lost connection, nil once the target is known to run
 	// again.
-	check *CrashCheck
+	check *crashCheck
 }
 
 // Run is a request that a target has been sent.
@@ -59,38 +59,53 @@
 	}
 }
 
-// ConnectionLost records that the connection of a run has ended without an answer. It returns
-// the check whose result applies to the run. If the check is new, the caller has to make it:
-// connect to the target and call Finish.
-func (d *Detector) ConnectionLost() (check *CrashCheck, isNew bool) {
+// Crashed reports whether the target of a run whose connection has ended without an answer has
+// crashed. For the first run of a crash that ends, it calls refuses, which reports whether the
+// target refuses a connection, and then report with the suspects; the other runs wait for the
+// result, at most until ctx ends.
+func (d *Detector) Crashed(ctx context.Context, refuses func() bool, report func(suspects []Fingerprint)) bool {
+	check, isNew := d.connectionLost()
+	if !isNew {
+		return check.wait(ctx)
+	}
+	crashed := refuses()
+	if crashed {
+		report(check.suspects)
+	}
+	check.finish(crashed)
+	return crashed
+}
+
+// connectionLost returns the check whose result applies to a run that has just lost its
+// connection. If the check is new, the caller has to make it.
+func (d *Detector) connectionLost() (check *crashCheck, isNew bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.check != nil && (!d.check.isEnded() || d.check.crashed) {
 		return d.check, false
 	}
-	d.check = &CrashCheck{detector: d, ended: make(chan struct{})}
+	d.check = &crashCheck{detector: d, ended: make(chan struct{})}
 	for r := range d.running {
-		if !d.completed.Includes(r.fingerprint) && !slices.Contains(d.check.Suspects, r.fingerprint) {
-			d.check.Suspects = append(d.check.Suspects, r.fingerprint)
+		if !d.completed.Includes(r.fingerprint) && !slices.Contains(d.check.suspects, r.fingerprint) {
+			d.check.suspects = append(d.check.suspects, r.fingerprint)
 		}
 	}
 	return d.check, true
 }
 
-// CrashCheck is the connection attempt after a lost connection.
-type CrashCheck struct {
-	// Suspects are the requests that were running when the connection was lost, without those
-	// that the target has completed before.
-	Suspects []Fingerprint
-
+// crashCheck is the connection attempt after a lost connection.
+type crashCheck struct {
 	detector *Detector
+	// suspects are the requests that were running when the connection was lost, without those
+	// that the target has completed before.
+	suspects []Fingerprint
 	// ended is closed once crashed is set.
 	ended   chan struct{}
 	crashed bool
 }
 
-// Finish sets the result of the check.
-func (c *CrashCheck) Finish(crashed bool) {
+// finish sets the result of the check.
+func (c *crashCheck) finish(crashed bool) {
 	c.detector.mu.Lock()
 	defer c.detector.mu.Unlock()
 	c.crashed = crashed
@@ -100,8 +115,8 @@
 	close(c.ended)
 }
 
-// Wait returns the result of the check, false if ctx ends before it is known.
-func (c *CrashCheck) Wait(ctx context.Context) (crashed bool) {
+// wait returns the result of the check, false if ctx ends before it is known.
+func (c *crashCheck) wait(ctx context.Context) (crashed bool) {
 	select {
 	case <-c.ended:
 		return c.crashed
@@ -110,7 +125,7 @@
 	}
 }
 
-func (c *CrashCheck) isEnded() bool {
+func (c *crashCheck) isEnded() bool {
 	select {
 	case <-c.ended:
 		return true
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -20,37 +20,37 @@
 	d.Started(two)
 	d.Started(three)
 
-	check, isNew := d.ConnectionLost()
+	check, isNew := d.connectionLost()
 	g.Expect(isNew).To(BeTrue())
-	g.Expect(check.Suspects).To(ConsistOf(one, two), "the target has completed the third before")
+	g.Expect(check.suspects).To(ConsistOf(one, two), "the target has completed the third before")
 	d.Ended(first, false)
-	joined, isNew := d.ConnectionLost()
+	joined, isNew := d.connectionLost()
 	g.Expect(isNew).To(BeFalse(), "the check is still running")
 	g.Expect(joined).To(BeIdenticalTo(check))
 
-	check.Finish(true)
+	check.finish(true)
 	d.Started(Fingerprint{4})
-	joined, isNew = d.ConnectionLost()
+	joined, isNew = d.connectionLost()
 	g.Expect(isNew).To(BeFalse(), "a request that meets a crashed target has not caused the crash")
-	g.Expect(joined.Wait(t.Context())).To(BeTrue())
+	g.Expect(joined.wait(t.Context())).To(BeTrue())
 
 	d.Reached()
 	d.Started(three)
-	check, isNew = d.ConnectionLost()
+	check, isNew = d.connectionLost()
 	g.Expect(isNew).To(BeTrue(), "the target has run again")
-	g.Expect(check.Suspects).To(ContainElement(three), "the next incarnation has completed nothing yet")
+	g.Expect(check.suspects).To(ContainElement(three), "the next incarnation has completed nothing yet")
 }
 
 func TestEachLostConnectionOfARunningTargetIsChecked(t *testing.T) {
 	g := NewWithT(t)
 	d := NewDetector()
 	d.Started(Fingerprint{1})
-	check, _ := d.ConnectionLost()
-	check.Finish(false)
-	g.Expect(check.Wait(t.Context())).To(BeFalse())
-	check, isNew := d.ConnectionLost()
+	check, _ := d.connectionLost()
+	check.finish(false)
+	g.Expect(check.wait(t.Context())).To(BeFalse())
+	check, isNew := d.connectionLost()
 	g.Expect(isNew).To(BeTrue())
-	g.Expect(check.Suspects).To(HaveLen(1))
+	g.Expect(check.suspects).To(HaveLen(1))
 }
 
 // judgeFunc is a Judge with evidence against some request.
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -67,6 +67,15 @@
 // String returns the fingerprint in hexadecimal digits.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// Texts returns fingerprints as they are logged.
+func Texts(fingerprints []Fingerprint) []string {
+	texts := make([]string, len(fingerprints))
+	for i, f := range fingerprints {
+		texts[i] = f.String()
+	}
+	return texts
+}
+
 // ParseFingerprint parses a fingerprint in hexadecimal digits.
 func ParseFingerprint(text string) (Fingerprint, error) {
 	var f Fingerprint
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -74,6 +74,15 @@
 	Verdict(f Fingerprint) Verdict
 }
 
+// VerdictOn returns the verdict of a judge on a request. It identifies the request only if there is
+// evidence against any.
+func VerdictOn(judge Judge, request func() Fingerprint) Verdict {
+	if judge.Empty() {
+		return Verdict{}
+	}
+	return judge.Verdict(request())
+}
+
 // Guard keeps one request from a target, or lets it run alone, if it may crash the target.
 type Guard struct {
 	judge     Judge
@@ -90,18 +99,11 @@
 	return &Guard{judge: judge, isolation: isolation, request: request}
 }
 
-func (g *Guard) verdict() Verdict {
-	if g.judge.Empty() {
-		return Verdict{}
-	}
-	return g.judge.Verdict(g.request())
-}
-
 // Enter waits for the turn of a request that has to run alone. It returns false if the request
 // is refused, and after which time it may be sent again. expected is the estimated time of a
 // run, limit the longest time to wait.
 func (g *Guard) Enter(ctx context.Context, expected, limit time.Duration) (retryAfter time.Duration, ok bool) {
-	verdict := g.verdict()
+	verdict := VerdictOn(g.judge, g.request)
 	switch verdict.Action {
 	case Refuse:
 		return verdict.RetryAfter, false
@@ -116,7 +118,7 @@
 // Check is called right before the request is sent to the target. It returns false if evidence
 // that has arrived since Enter forbids that.
 func (g *Guard) Check() (retryAfter time.Duration, ok bool) {
-	verdict := g.verdict()
+	verdict := VerdictOn(g.judge, g.request)
 	switch {
 	case verdict.Action == Refuse:
 		return verdict.RetryAfter, false
--- a/plugins/forwarding/quarantine.go
+++ b/plugins/forwarding/quarantine.go
@@ -38,10 +38,7 @@
 
 // verdict returns whether the call may be sent to a target.
 func (e *entry) verdict(c *call) quarantine.Verdict {
-	if e.quarantine.Empty() {
-		return quarantine.Verdict{}
-	}
-	return e.quarantine.Verdict(c.fingerprint)
+	return quarantine.VerdictOn(e.quarantine, func() quarantine.Fingerprint { return c.fingerprint })
 }
 
 // quarantinedResult returns the result of a call that must not be sent to a target: that of its
@@ -115,25 +112,17 @@
 	}
 }
 
-// targetCrashed reports whether the target of a call without an answer has crashed. Of the calls
-// that a crash has ended, the first one looks whether the target accepts connections, and the
-// others wait for the result.
+// targetCrashed reports whether the target of a call without an answer has crashed. It does not
+// count if the node is shutting down: then the target may end with calls in flight.
 func (t *targetSide) targetCrashed(ctx context.Context) bool {
 	if t.drainer.Stage() != model.StageServing {
-		return false // a target that is shutting down may end with calls in flight
-	}
-	check, isNew := t.crashes.ConnectionLost()
-	if !isNew {
-		return check.Wait(ctx)
+		return false
 	}
-	crashed := t.target.refusesConnections()
-	if crashed {
-		suspects := slices.DeleteFunc(check.Suspects, func(f quarantine.Fingerprint) bool { return f == quarantine.Fingerprint{} })
+	return t.crashes.Crashed(ctx, t.target.refusesConnections, func(suspects []quarantine.Fingerprint) {
+		suspects = slices.DeleteFunc(suspects, func(f quarantine.Fingerprint) bool { return f == quarantine.Fingerprint{} })
 		t.quarantine.RecordCrash(suspects)
-		t.log.Emit(eventTargetCrashed, event.Fields{"target": t.target.address, "fingerprints": fingerprintTexts(suspects)})
-	}
-	check.Finish(crashed)
-	return crashed
+		t.log.Emit(eventTargetCrashed, event.Fields{"target": t.target.address, "fingerprints": quarantine.Texts(suspects)})
+	})
 }
 
 // reportReached returns dial with a report to the detector of each connection that the target
@@ -169,15 +158,6 @@
 	header[headerCrashReports] = []string{quarantine.EncodeHeader(t.quarantine.Reports(in.fingerprint))}
 }
 
-// fingerprintTexts returns fingerprints as they are logged.
-func fingerprintTexts(fingerprints []quarantine.Fingerprint) []string {
-	texts := make([]string, len(fingerprints))
-	for i, f := range fingerprints {
-		texts[i] = f.String()
-	}
-	return texts
-}
-
 // peerAddresses returns the peer addresses of the members that are not dead, nil if there are
 // none.
 func peerAddresses(view *model.View) []string {
--- a/plugins/sidecar/crash.go
+++ b/plugins/sidecar/crash.go
@@ -5,26 +5,22 @@
 	"syscall"
 
 	"github.com/bronzemast/bronzemast/event"
+	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/pkg/errors"
 )
 
-// targetCrashed reports whether the target of a run without an answer has crashed. Of the runs
-// that a crash has ended, the first one looks whether the target accepts connections, and the
-// others wait for the result.
+// targetCrashed reports whether the target of a run without an answer has crashed. It does not
+// count if the target is shutting down: then it may end with requests under way.
 func (s *targetSide) targetCrashed(ctx context.Context, inst *instance, h *handover) bool {
 	if s.hasLeft(h) {
-		return false // a target that is shutting down may end with requests under way
+		return false
 	}
-	check, isNew := inst.crashes.ConnectionLost()
-	if !isNew {
-		return check.Wait(ctx)
+	refuses := func() bool {
+		err := inst.pool.Connect(context.Background()) // the pool applies the connect timeout
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	err := inst.pool.Connect(context.Background()) // the pool applies the connect timeout
-	crashed := errors.Is(err, syscall.ECONNREFUSED)
-	if crashed {
-		s.quarantine.RecordCrash(check.Suspects)
-		s.log.Emit(eventTargetCrashed, event.Fields{"target": h.Instance, "fingerprints": fingerprintTexts(check.Suspects)})
-	}
-	check.Finish(crashed)
-	return crashed
+	return inst.crashes.Crashed(ctx, refuses, func(suspects []quarantine.Fingerprint) {
+		s.quarantine.RecordCrash(suspects)
+		s.log.Emit(eventTargetCrashed, event.Fields{"target": h.Instance, "fingerprints": quarantine.Texts(suspects)})
+	})
 }
--- a/plugins/sidecar/quarantine.go
+++ b/plugins/sidecar/quarantine.go
@@ -19,10 +19,7 @@
 
 // verdict returns whether the call may be sent to a target.
 func (e *entry) verdict(c *call) quarantine.Verdict {
-	if e.quarantine.Empty() {
-		return quarantine.Verdict{}
-	}
-	return e.quarantine.Verdict(c.fingerprint())
+	return quarantine.VerdictOn(e.quarantine, c.fingerprint)
 }
 
 // quarantinedAnswer returns the answer of a call that must not be sent to a target: that of
@@ -56,12 +53,3 @@
 		header[headerCrashReports] = []string{quarantine.EncodeHeader(reports)}
 	}
 }
-
-// fingerprintTexts returns fingerprints as they are logged.
-func fingerprintTexts(fingerprints []quarantine.Fingerprint) []string {
-	texts := make([]string, len(fingerprints))
-	for i, f := range fingerprints {
-		texts[i] = f.String()
-	}
-	return texts
-}
