--- a/plugins/operator/state.go
+++ b/plugins/operator/state.go
@@ -31,8 +31,8 @@
 	if drainer, err := kernel.Lookup[model.Drainer](o.ctx); err == nil {
 		status.Stage = drainer.Stage().String()
 	}
-	if held, err := kernel.Lookup[model.Quarantine](o.ctx); err == nil {
-		status.Held = held.Held()
+	if quarantine, err := kernel.Lookup[model.Quarantine](o.ctx); err == nil {
+		status.Held = quarantine.Held()
 	}
 	return status, nil
 }
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	held, err := kernel.Lookup[model.Quarantine](ctx)
+	quarantine, err := kernel.Lookup[model.Quarantine](ctx)
 	if err != nil {
 		return err
 	}
@@ -168,7 +168,7 @@
 			ctx.Log().Emit(eventUnknownHeader, event.Fields{"header": name})
 		}},
 		departures: newDepartures(),
-		quarantine: held,
+		quarantine: quarantine,
 	}
 	s.entry = &entry{
 		host:     ctx.Host(),
@@ -182,20 +182,20 @@
 		budgets:  newRetryBudgets(&s.live, hosts),
 		drain:    s.drain,
 
-		quarantine: held,
+		quarantine: quarantine,
 	}
-	held.SetPeers(func() []string { return peerAddresses(replica.Targets(), peer.Port()) })
+	quarantine.SetPeers(func() []string { return peerAddresses(replica.Targets(), peer.Port()) })
 	s.targetSide.onNested = s.entry.stats.recordNested
 	s.entry.stats.departures = s.targetSide.departures
 	s.entry.stats.fleetSize = hosts
 	ctx.Metrics().Set("target_limits", expvar.Func(func() any { return s.targetSide.limits() }))
 	s.entry.sender = s.newSender(peer, transport, replica)
-	s.entry.sender.quarantine = held
+	s.entry.sender.quarantine = quarantine
 	transport.HandleCalls(s.entry)
 	transport.HandlePeer("POST "+pathHandover, s.targetSide)
 	transport.HandlePeer("GET "+pathAlive, http.HandlerFunc(serveAlive))
 	replica.Subscribe(s.retain)
-	s.registerReadiness(ctx, held)
+	s.registerReadiness(ctx, quarantine)
 	return nil
 }
 
@@ -242,12 +242,12 @@
 
 // registerReadiness makes the node report not ready while it drains, and at its start until it
 // has asked which requests crash targets.
-func (s *Sidecar) registerReadiness(ctx *kernel.Context, held model.Quarantine) {
+func (s *Sidecar) registerReadiness(ctx *kernel.Context, quarantine model.Quarantine) {
 	readiness, err := kernel.Lookup[model.Readiness](ctx)
 	if err != nil {
 		return
 	}
-	readiness.Require("quarantine", held.Synchronized)
+	readiness.Require("quarantine", quarantine.Synchronized)
 	readiness.Require("draining", func() error {
 		if s.drain.draining() {
 			return errors.New("the node is leaving")
