--- a/plugins/sidecar/choose.go
+++ b/plugins/sidecar/choose.go
@@ -41,26 +41,35 @@
 	if c.overheadExceeded(occupancy) {
 		return choice{fullFor: max(c.fullRetryAfter, time.Millisecond)}
 	}
+	request := placementRequest{
+		rank:               c.route.Rank,
+		nested:             s.route(c.route.Name).nested,
+		runTime:            s.meanRunTime(c.route.Name, c.route.Objective),
+		objectiveRemaining: objectiveRemaining,
+		occupancy:          occupancy,
+		remoteCost:         s.settings.Load().RemoteCost,
+	}
 	var noTarget choice
-	var eligible []*model.Target
-	var candidates []placement.Candidate
+	eligible, candidates := s.eligible[:0], s.candidates[:0]
 	for _, t := range targets {
 		if t.Leaving || c.excludedTargets[t.ID] || s.departures.includes(t) {
 			continue
 		}
-		if wait := s.unreachableFor(t, now); wait > 0 {
+		r := s.target(t, now)
+		if wait := s.unreachableFor(t, r, now); wait > 0 {
 			noTarget.unreachableFor = minNonZero(noTarget.unreachableFor, wait)
 			continue
 		}
-		if s.full(t, c, now) {
-			noTarget.addFull(s.target(t, now), now)
+		if r.full(&request, now) {
+			noTarget.addFull(r, now)
 			continue
 		}
-		candidate := s.candidate(t, c.route.Name, c.route.Objective, objectiveRemaining, occupancy, now)
+		candidate := s.candidate(t, r, &request, now)
 		candidate.Rejected = c.fullTargets[t.ID]
 		eligible = append(eligible, t)
 		candidates = append(candidates, candidate)
 	}
+	s.eligible, s.candidates = eligible, candidates
 	i := s.place(c, eligible, candidates, random)
 	if i < 0 {
 		return noTarget
@@ -80,7 +89,7 @@
 // place returns the index of the target for a call, -1 if there is none.
 func (s *targetStats) place(c *call, eligible []*model.Target, candidates []placement.Candidate, random float64) int {
 	if !c.isolated {
-		return placement.Choose(candidates, random)
+		return s.placer.Choose(candidates, random)
 	}
 	ids := make([]string, len(eligible))
 	for i, t := range eligible {
@@ -126,8 +135,7 @@
 
 // unreachableFor returns how long the peer of a target is expected to stay unreachable,
 // 0 if it is reachable. It starts a probe when one is due. The caller holds mu.
-func (s *targetStats) unreachableFor(t *model.Target, now time.Time) time.Duration {
-	r := s.target(t, now)
+func (s *targetStats) unreachableFor(t *model.Target, r *targetRecord, now time.Time) time.Duration {
 	if !r.peer.unreachable {
 		return 0
 	}
--- a/plugins/sidecar/placement/placement.go
+++ b/plugins/sidecar/placement/placement.go
@@ -112,7 +112,8 @@
 // chosen one.
 func HasAlternative(candidates []Candidate, chosen int) bool {
 	limit := candidates[chosen].Cost() + alternativeCostMargin
-	for i, c := range candidates {
+	for i := range candidates {
+		c := &candidates[i]
 		if i != chosen && c.hasFreeSlot() && c.Cost() <= limit {
 			return true
 		}
@@ -124,25 +125,40 @@
 // still be tried before the request waits for a slot.
 const alternativeCostMargin = 0.3
 
+// Placer chooses targets. It uses its memory again for each choice and is not safe for concurrent
+// use. The zero value is ready to use.
+type Placer struct {
+	costs []float64
+}
+
 // Choose returns the index of the candidate with the lowest cost, -1 if there is none.
 // random, a uniform value from 0 to 1, selects among candidates of nearly equal cost.
-func Choose(candidates []Candidate, random float64) int {
-	costs := make([]float64, len(candidates))
+func (p *Placer) Choose(candidates []Candidate, random float64) int {
+	p.costs = p.costs[:0]
 	lowest := math.Inf(1)
-	for i, c := range candidates {
-		costs[i] = c.Cost()
-		lowest = min(lowest, costs[i])
+	for i := range candidates {
+		cost := candidates[i].Cost()
+		p.costs = append(p.costs, cost)
+		lowest = min(lowest, cost)
 	}
-	var cheapest []int
-	for i, cost := range costs {
-		if cost <= lowest+equalCostMargin {
-			cheapest = append(cheapest, i)
+	limit := lowest + equalCostMargin
+	cheapest := 0
+	for _, cost := range p.costs {
+		if cost <= limit {
+			cheapest++
 		}
 	}
-	if len(cheapest) == 0 {
-		return -1
+	skip := min(int(random*float64(cheapest)), cheapest-1)
+	for i, cost := range p.costs {
+		if cost > limit {
+			continue
+		}
+		if skip == 0 {
+			return i
+		}
+		skip--
 	}
-	return cheapest[min(int(random*float64(len(cheapest))), len(cheapest)-1)]
+	return -1
 }
 
 // equalCostMargin is the difference in cost within which candidates count as equal.
--- a/plugins/sidecar/placement/placement_test.go
+++ b/plugins/sidecar/placement/placement_test.go
@@ -40,8 +40,8 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			for range 20 {
-				g.Expect(Choose([]Candidate{worse, healthy()}, rand.Float64())).To(Equal(1))
-				g.Expect(Choose([]Candidate{healthy(), worse}, rand.Float64())).To(Equal(0))
+				g.Expect(new(Placer).Choose([]Candidate{worse, healthy()}, rand.Float64())).To(Equal(1))
+				g.Expect(new(Placer).Choose([]Candidate{healthy(), worse}, rand.Float64())).To(Equal(0))
 			}
 		})
 	}
@@ -51,14 +51,14 @@
 	g := NewWithT(t)
 	full := with(func(c *Candidate) { c.Occupied = 25 })
 	remote := with(func(c *Candidate) { c.RemoteCost, c.RoundTrip = 0.25, 2*time.Millisecond })
-	g.Expect(Choose([]Candidate{full, remote}, 0.5)).To(Equal(1))
+	g.Expect(new(Placer).Choose([]Candidate{full, remote}, 0.5)).To(Equal(1))
 }
 
 func TestEqualTargetsShareTheRequests(t *testing.T) {
 	g := NewWithT(t)
 	counts := map[int]int{}
 	for i := range 300 {
-		counts[Choose([]Candidate{healthy(), healthy(), healthy()}, float64(i)/300)]++
+		counts[new(Placer).Choose([]Candidate{healthy(), healthy(), healthy()}, float64(i)/300)]++
 	}
 	g.Expect(counts).To(Equal(map[int]int{0: 100, 1: 100, 2: 100}))
 }
@@ -75,12 +75,12 @@
 
 func TestNoCandidatesGiveNoChoice(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(Choose(nil, 0.5)).To(Equal(-1))
+	g.Expect(new(Placer).Choose(nil, 0.5)).To(Equal(-1))
 }
 
 func TestOnlyCandidateIsChosenRegardlessOfCost(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(Choose([]Candidate{{Unavailable: true, FailureRate: 1}}, 0.99)).To(Equal(0))
+	g.Expect(new(Placer).Choose([]Candidate{{Unavailable: true, FailureRate: 1}}, 0.99)).To(Equal(0))
 }
 
 func TestMissProbabilityGrowsWithExpectedLatency(t *testing.T) {
--- a/plugins/sidecar/targetreport.go
+++ b/plugins/sidecar/targetreport.go
@@ -66,6 +66,9 @@
 // currentLag returns the lag as of now. It decays, so that the node gets requests again that
 // show whether it still lags.
 func (r *targetRecord) currentLag(now time.Time) time.Duration {
+	if r.lag == 0 {
+		return 0
+	}
 	return time.Duration(float64(r.lag) * decay(now.Sub(r.lagAt), lagHalfLife))
 }
 
--- a/plugins/sidecar/targetstats.go
+++ b/plugins/sidecar/targetstats.go
@@ -31,6 +31,25 @@
 	mu      sync.Mutex
 	targets map[model.TargetID]*targetRecord
 	routes  map[string]*routeRecord
+	// placer, eligible and candidates are used again for each request, so that choosing among
+	// hundreds of targets does not allocate.
+	placer     placement.Placer
+	eligible   []*model.Target
+	candidates []placement.Candidate
+}
+
+// placementRequest holds what choosing a target needs to know of a request, besides the target.
+type placementRequest struct {
+	rank   int
+	nested bool
+	// runTime is the mean run time of the route, objectiveRemaining the time left until the
+	// objective is missed.
+	runTime            time.Duration
+	objectiveRemaining time.Duration
+	// occupancy is the mean number of requests per slot of the service's targets, and
+	// remoteCost the cost of leaving the failure domain.
+	occupancy  float64
+	remoteCost float64
 }
 
 // targetRecord holds the estimates of one target.
@@ -243,12 +262,10 @@
 // turnoverRuns is the number of finished runs after which a full target is tried again.
 const turnoverRuns = 2
 
-// full reports whether a target is expected to reject a call because of its load. Calls made
-// by targets have priority over all others, so earlier rejections don't apply to them. The
-// caller holds mu.
-func (s *targetStats) full(t *model.Target, c *call, now time.Time) bool {
-	r := s.target(t, now)
-	return now.Before(r.fullUntil) && c.route.Rank >= r.fullRank && !s.route(c.route.Name).nested
+// full reports whether the target is expected to reject a request because of its load. Calls made
+// by targets have priority over all others, so earlier rejections don't apply to them.
+func (r *targetRecord) full(request *placementRequest, now time.Time) bool {
+	return now.Before(r.fullUntil) && request.rank >= r.fullRank && !request.nested
 }
 
 // occupancy returns the mean number of requests per slot of the targets, weighted by the
@@ -273,32 +290,33 @@
 // candidate returns the placement candidate of a target. Its reported load decays towards the
 // mean occupancy of the service, so that a target without a recent report does not count as
 // idle while the service is busy. The caller holds mu.
-func (s *targetStats) candidate(t *model.Target, route string, objective, objectiveRemaining time.Duration, occupancy float64, now time.Time) placement.Candidate {
-	r := s.target(t, now)
-	runTime := s.meanRunTime(route, objective)
-	slowdown := 1 + (r.load.Slowdown-1)*decay(now.Sub(r.loadAt), slowdownHalfLife)
-	if r.load.Slowdown == 0 {
-		slowdown = 1
+func (s *targetStats) candidate(t *model.Target, r *targetRecord, request *placementRequest, now time.Time) placement.Candidate {
+	loadAge := now.Sub(r.loadAt)
+	slowdown := 1.0
+	if r.load.Slowdown != 0 {
+		slowdown = 1 + (r.load.Slowdown-1)*decay(loadAge, slowdownHalfLife)
 	}
 	estimateWeight := decay(now.Sub(r.estimatedAt), estimateHalfLife)
 	factor := (1 + (r.relativeRunTime-1)*estimateWeight) * slowdown
 	if now.Before(r.coldUntil) {
 		factor = max(factor, coldRunTimeFactor)
 	}
-	loadWeight := decay(now.Sub(r.loadAt), loadHalfLife)
-	reported := float64(r.load.Running+r.load.Waiting)*loadWeight + occupancy*float64(t.Slots)*(1-loadWeight)
+	loadWeight := decay(loadAge, loadHalfLife)
+	reported := float64(r.load.Running+r.load.Waiting)*loadWeight + request.occupancy*float64(t.Slots)*(1-loadWeight)
 	c := placement.Candidate{
 		Occupied:           max(reported+float64(r.sentSince), float64(r.inFlight)),
 		Slots:              t.Slots,
-		RunTime:            time.Duration(float64(runTime) * factor),
-		ObjectiveRemaining: objectiveRemaining,
+		RunTime:            time.Duration(float64(request.runTime) * factor),
+		ObjectiveRemaining: request.objectiveRemaining,
 		RoundTrip:          time.Duration(float64(r.roundTrip)*estimateWeight) + r.currentLag(now),
-		FailureRate:        r.load.FailureRate * decay(now.Sub(r.loadAt), failureHalfLife),
 		Throttled:          r.share.Until(1, now) > 0,
-		Unavailable:        now.Before(r.cooldownUntil) || r.load.Leaving && now.Sub(r.loadAt) < leavingCooldown,
+		Unavailable:        now.Before(r.cooldownUntil) || r.load.Leaving && loadAge < leavingCooldown,
+	}
+	if r.load.FailureRate != 0 {
+		c.FailureRate = r.load.FailureRate * decay(loadAge, failureHalfLife)
 	}
 	if t.Domain != s.domain {
-		c.RemoteCost = s.settings.Load().RemoteCost
+		c.RemoteCost = request.remoteCost
 	}
 	return c
 }
--- a/plugins/sidecar/targetstats_test.go
+++ b/plugins/sidecar/targetstats_test.go
@@ -323,7 +323,7 @@
 	near, far := targetAt(1), targetAt(2)
 	far.Domain = "other"
 	cost := func(target *model.Target) float64 {
-		return stats.candidate(target, "r", time.Second, time.Second, 0, time.Now()).RemoteCost
+		return stats.choose(statsCall, []*model.Target{target}, 0, begin).candidate.RemoteCost
 	}
 	g.Expect(cost(near)).To(BeZero())
 	g.Expect(cost(far)).To(Equal(defaultRemoteCost))
