--- a/config/ingress/compile.go
+++ b/config/ingress/compile.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"slices"
 	"sort"
 	"strings"
 
@@ -63,6 +64,9 @@
 		if s.Connections < 0 {
 			c.findings.Errorf(s.Place, "connections: %d is negative", s.Connections)
 		}
+		if s.Warmup.Duration < 0 || s.Warmup.Rate < 0 {
+			c.findings.Errorf(s.Place, "the warm-up of %s at %g requests per second is negative", s.Warmup.Duration, s.Warmup.Rate)
+		}
 	}
 }
 
@@ -110,6 +114,9 @@
 	if r.Attempts < 1 {
 		c.findings.Errorf(r.Place, "%d attempts; at least 1 is needed", r.Attempts)
 	}
+	if slices.Contains(r.Regions, "") {
+		c.findings.Errorf(r.Place, "one of the regions has no name")
+	}
 	if r.MaxBodyBytes < 0 {
 		c.findings.Errorf(r.Place, "the limit of %d bytes for bodies is negative", r.MaxBodyBytes)
 	}
--- a/config/ingress/compile_test.go
+++ b/config/ingress/compile_test.go
@@ -64,6 +64,8 @@
 		"service defined twice": {func(d *Document) { d.Services[1].Name = "alpha" }, "twice"},
 		"service without name":  {func(d *Document) { d.Services[1].Name = "" }, "no name"},
 		"connections":           {func(d *Document) { d.Services[1].Connections = -1 }, "connections"},
+		"warm-up":               {func(d *Document) { d.Services[1].Warmup.Rate = -1 }, "warm-up"},
+		"region without name":   {func(d *Document) { d.Routes[0].Regions = []string{"r", ""} }, "region"},
 		"limit in bytes":        {func(d *Document) { d.Limits.MaxBodyBytes = -1 }, "bytes"},
 		"time limit":            {func(d *Document) { d.Limits.IdleTimeout = -1 }, "time limit"},
 	}
--- a/config/ingress/document.go
+++ b/config/ingress/document.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bronzemast/bronzemast/finding"
@@ -34,6 +35,8 @@
 	Rank int
 	// Attempts is the number of targets that one request may be sent to.
 	Attempts int
+	// Regions holds the regions to whose targets requests may go; empty means all.
+	Regions []string
 	// MaxBodyBytes bounds the body of a request; 0 means that the route sets no limit.
 	MaxBodyBytes int64
 	// Destinations are the services behind the route and their weights.
@@ -41,6 +44,11 @@
 	Place        finding.Place
 }
 
+// Allows reports whether requests may go to targets in a region.
+func (r *Route) Allows(region string) bool {
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
+}
+
 // Destination is a service that receives a share of a route's requests.
 type Destination struct {
 	Service string
@@ -55,9 +63,23 @@
 	HealthPath string
 	// Connections is the number of connections that one target accepts.
 	Connections int
-	Place       finding.Place
+	// Warmup limits the requests of a target that is cold.
+	Warmup Warmup
+	Place  finding.Place
 }
 
+// Warmup limits the requests of a target that is cold: after its start, after an evacuation of
+// its failure domain, and whenever the target says so. The zero value sets no limit.
+type Warmup struct {
+	// Duration is how long a target stays cold after its start.
+	Duration time.Duration
+	// Rate is the number of requests per second that a cold target tolerates.
+	Rate float64
+}
+
+// Limited reports whether cold targets tolerate a limited rate.
+func (w Warmup) Limited() bool { return w.Rate > 0 && w.Duration > 0 }
+
 // Limits bound the size of requests and the time that a caller takes to send them.
 type Limits struct {
 	// MaxHeaderBytes and MaxBodyBytes bound the header and the body of a request; 0
--- a/model/exchange.go
+++ b/model/exchange.go
@@ -16,6 +16,9 @@
 	SetTarget(h http.Header, t TargetHead)
 	// ParseResponse parses the status and headers of a target's response.
 	ParseResponse(status int, h http.Header) ResponseHead
+	// ParseHealth parses the headers of a target's response to a health check. ok is false
+	// if they do not say which target responds, or are malformed.
+	ParseHealth(h http.Header) (head HealthHead, ok bool)
 	// WriteLocalReply sets the headers of a response that the node generates itself
 	// and returns its status.
 	WriteLocalReply(h http.Header, r LocalReply) int
@@ -68,6 +71,14 @@
 	UnknownHeaders []string
 }
 
+// HealthHead holds the metadata that a target sends in the response to a health check.
+type HealthHead struct {
+	// Target is the incarnation that responds.
+	Target TargetID
+	// WarmupRemaining is how much longer the target is cold, 0 if it is not.
+	WarmupRemaining time.Duration
+}
+
 // RateLimit is the limit on its requests that a target names in an answer. The zero value
 // is an answer that names none.
 type RateLimit struct {
--- a/model/outcome.go
+++ b/model/outcome.go
@@ -85,6 +85,8 @@
 	// ReasonQuarantined is a request that is kept from targets because they have crashed while
 	// they ran it.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonEvacuated is a target in a failure domain that an operator evacuates.
+	ReasonEvacuated   Reason = "evacuated"
 	ReasonPeerLost    Reason = "peer-lost"
 	ReasonRetryBudget Reason = "retry-budget"
 )
--- a/model/store.go
+++ b/model/store.go
@@ -50,6 +50,9 @@
 	ItemOther ItemKind = iota
 	ItemConfiguration
 	ItemTarget
+	// ItemEvacuation is an operator's request to keep all requests from the targets of a
+	// failure domain, for as long as the item exists.
+	ItemEvacuation
 )
 
 // ItemDecoder decodes the items of the store. Its errors always concern the item, never
@@ -58,6 +61,9 @@
 	Kind(key string) ItemKind
 	Configuration(item Item) (*ingress.Document, error)
 	Target(item Item) (*Target, error)
+	// Evacuation returns the failure domain that is evacuated while the item exists. It may
+	// return an error about the item's data together with the domain.
+	Evacuation(item Item) (domain string, err error)
 }
 
 // Replica is the node's copy of the store. The plug-in "replica" provides it.
--- a/model/target.go
+++ b/model/target.go
@@ -25,6 +25,13 @@
 	// SlowStartRemaining is the remaining time of the target's slow start, measured
 	// from the time at which the target wrote its entry.
 	SlowStartRemaining time.Duration
+	// Region is the region of the target's failure domain, empty if it is not known.
+	Region string
+	// Evacuated is set while an operator keeps all requests from the targets of Domain, and
+	// ReturnedAt is when the node learned that the last such request had ended; zero if it
+	// has seen none end.
+	Evacuated  bool
+	ReturnedAt time.Time
 	// StartedAt is the time at which this incarnation started.
 	StartedAt time.Time
 	// Position is the store's position at which the entry was written.
--- a/plugins/replica/apply.go
+++ b/plugins/replica/apply.go
@@ -42,6 +42,9 @@
 		case model.ItemTarget:
 			r.applyTarget(item, c)
 			targetsChanged = true
+		case model.ItemEvacuation:
+			r.applyEvacuation(item, c)
+			targetsChanged = true
 		}
 	}
 	if c.restored {
@@ -161,6 +164,7 @@
 		r.targets.remove(item.Key, c.at, c.at)
 		return
 	}
+	target.Region = r.settings.FailureDomains[target.Domain]
 	fields["service"] = target.Service
 	fields["state"] = entryReady
 	if target.Leaving {
@@ -189,7 +193,12 @@
 func (r *Replica) publishTargets() {
 	now := time.Now()
 	_, next := r.targets.expire(now)
-	list := r.targets.list(r.copy.position)
+	ended, nextEnd := r.evacuations.expire(now)
+	for _, domain := range ended {
+		r.logEvacuation(domain, r.copy.position, viaStore)
+	}
+	next = soonest(next, nextEnd)
+	list := r.targets.list(r.copy.position, r.evacuations.apply)
 	r.list.Store(list)
 	r.links.retain(r.self, list.Hosts)
 	if !next.IsZero() {
@@ -200,6 +209,14 @@
 	}
 }
 
+// soonest returns the earlier of two times, where zero means never.
+func soonest(a, b time.Time) time.Time {
+	if b.IsZero() {
+		return a
+	}
+	return earliest(a, b)
+}
+
 func (r *Replica) expireTargets() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/plugins/replica/events.go
+++ b/plugins/replica/events.go
@@ -46,6 +46,22 @@
 		Meaning: "The platform's store has come back from an older copy: its era has risen and its revision may have fallen. The node has replaced its copy, which was at position earlier, and changes items differ. The configuration in force does not go back. Targets whose entries are missing count for return_grace more, and entries that had been replaced or removed count after restore_grace, unless they are written again before.",
 		Action:  "Check that the operator's latest configuration and the targets' entries have been written again.",
 	})
+	eventEvacuation = event.Define(event.Event{
+		Number:  2110,
+		Level:   logrus.WarnLevel,
+		Message: "evacuation changed",
+		Fields:  []string{"failure_domain", "active", "known", "targets", "revision", "via"},
+		Meaning: "An operator has requested or ended the evacuation of a failure domain. While it is active, no request is sent to the targets there, and the nodes there go on serving their own callers. targets is the number of targets that are listed in the domain; known is unset if the settings name no such domain.",
+		Action:  "If known is unset, correct the name of the failure domain in the request.",
+	})
+	eventUnreadableEvacuation = event.Define(event.Event{
+		Number:  2111,
+		Level:   logrus.WarnLevel,
+		Message: "evacuation cannot be read",
+		Fields:  []string{"failure_domain", "revision", "error"},
+		Meaning: "An item of the store has the key of an evacuation but not the content of one. The failure domain that the key names is evacuated all the same; failure_domain is empty if it names none, and then the item is ignored.",
+		Action:  "Find out what wrote the item. Remove it if the failure domain is not to be evacuated.",
+	})
 	eventStoreLost = event.Define(event.Event{
 		Number:  2104,
 		Level:   logrus.WarnLevel,
--- a/plugins/replica/fakestore_test.go
+++ b/plugins/replica/fakestore_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -214,8 +215,11 @@
 
 // Kind implements model.ItemDecoder.
 func (fakeDecoder) Kind(key string) model.ItemKind {
-	if key == configurationKey {
+	switch {
+	case key == configurationKey:
 		return model.ItemConfiguration
+	case strings.HasPrefix(key, evacuationPrefix):
+		return model.ItemEvacuation
 	}
 	return model.ItemTarget
 }
@@ -238,6 +242,18 @@
 	}, nil
 }
 
+// evacuationPrefix is followed by the name of a failure domain.
+const evacuationPrefix = "evacuate/"
+
+// Evacuation implements model.ItemDecoder.
+func (fakeDecoder) Evacuation(item model.Item) (string, error) {
+	domain := strings.TrimPrefix(item.Key, evacuationPrefix)
+	if !item.Removed && len(item.Data) > 0 {
+		return domain, errors.New("an evacuation has no content")
+	}
+	return domain, nil
+}
+
 // list writes the entry of the host's target to the store.
 func (h *testHost) list() {
 	h.fleet.store.put(netip.AddrPortFrom(h.address, 80).String(), h.domain)
--- a/plugins/replica/incarnation_test.go
+++ b/plugins/replica/incarnation_test.go
@@ -36,7 +36,7 @@
 			for _, e := range []*model.Target{old, c.other} {
 				entries.set(e, model.Item{Key: string(e.ID)}, time.Now())
 			}
-			list := entries.list(model.Position{Era: 1, Revision: 9})
+			list := entries.list(model.Position{Era: 1, Revision: 9}, newEvacuations().apply)
 			var listed []model.TargetID
 			for id := range list.ByID {
 				listed = append(listed, id)
@@ -67,7 +67,7 @@
 			}, model.Item{Key: string(id)}, time.Now())
 		}
 	}
-	list := entries.list(model.Position{Era: 1, Revision: 2 * hosts})
+	list := entries.list(model.Position{Era: 1, Revision: 2 * hosts}, newEvacuations().apply)
 	g.Expect(list.ByService["alpha"]).To(HaveLen(hosts))
 	g.Expect(list.Hosts).To(HaveLen(hosts))
 	for _, t := range list.ByService["alpha"] {
--- a/plugins/replica/settings.go
+++ b/plugins/replica/settings.go
@@ -60,6 +60,9 @@
 	// LinkMbps is the rate of the host's link in Mbit/s, 0 if it is not known. The hosts
 	// with the fastest links become readers.
 	LinkMbps float64 `json:"link_mbps"`
+	// FailureDomains holds the region of each failure domain of the platform. It may be
+	// empty if no route is bound to regions.
+	FailureDomains map[string]string `json:"failure_domains"`
 }
 
 func defaultSettings() Settings {
@@ -82,6 +85,13 @@
 	return min(s.StaleAfter.Std(), s.MaxStaleness.Std()*3/4)
 }
 
+// knowsDomain reports whether a failure domain is one of the platform's, as far as the settings
+// name these.
+func (s *Settings) knowsDomain(name string) bool {
+	_, known := s.FailureDomains[name]
+	return known || len(s.FailureDomains) == 0
+}
+
 // check checks the durations and the rates.
 func (s *Settings) check(doc *jsonc.Document, findings *finding.List) {
 	doc.RequirePositive(findings,
--- a/plugins/replica/setup.go
+++ b/plugins/replica/setup.go
@@ -55,6 +55,7 @@
 	mu          sync.Mutex
 	copy        *storeCopy
 	targets     *targets
+	evacuations *evacuations
 	links       *links
 	subscribers []func(*model.TargetList)
 	fresh       freshness
@@ -87,12 +88,13 @@
 		settings:     defaultSettings(),
 		copy:         newCopy(),
 		targets:      newTargets(),
+		evacuations:  newEvacuations(),
 		links:        newLinks(),
 		updated:      make(chan struct{}),
 		verification: verification{calling: make(chan struct{}, 1)},
 	}
 	r.position.Store(&model.Position{})
-	r.list.Store(r.targets.list(model.Position{}))
+	r.list.Store(r.targets.list(model.Position{}, r.evacuations.apply))
 	r.startedAt = time.Now()
 	r.lease.origin = r.startedAt
 	return r
@@ -107,6 +109,7 @@
 	ctx.Metrics().Set("revision", expvar.Func(func() any { return r.Position().Revision }))
 	ctx.Metrics().Set("era", expvar.Func(func() any { return r.Position().Era }))
 	ctx.Metrics().Set("copy_age_ms", expvar.Func(func() any { return r.age().Milliseconds() }))
+	ctx.Metrics().Set("evacuated_domains", expvar.Func(func() any { return r.evacuatedDomains() }))
 	transport, err := kernel.Lookup[model.Transport](ctx)
 	if err != nil {
 		return err
--- a/plugins/replica/source_test.go
+++ b/plugins/replica/source_test.go
@@ -107,17 +107,17 @@
 	target := &model.Target{ID: "i-1", Service: "alpha", Address: netip.MustParseAddrPort("10.0.0.1:80")}
 	ts.set(target, entry, now)
 	ts.remove("entries/i-1", now.Add(-time.Second), now)
-	g.Expect(ts.list(at(1)).ByID).To(BeEmpty(), "without an outage it is removed at once")
+	g.Expect(ts.list(at(1), newEvacuations().apply).ByID).To(BeEmpty(), "without an outage it is removed at once")
 
 	ts.set(target, entry, now)
 	ts.remove("entries/i-1", now.Add(2*time.Second), now)
-	g.Expect(ts.list(at(1)).ByID).To(HaveLen(1))
+	g.Expect(ts.list(at(1), newEvacuations().apply).ByID).To(HaveLen(1))
 	changed, next := ts.expire(now.Add(time.Second))
 	g.Expect(changed).To(BeFalse())
 	g.Expect(next).To(Equal(now.Add(2 * time.Second)))
 	changed, _ = ts.expire(now.Add(2 * time.Second))
 	g.Expect(changed).To(BeTrue())
-	g.Expect(ts.list(at(1)).ByID).To(BeEmpty())
+	g.Expect(ts.list(at(1), newEvacuations().apply).ByID).To(BeEmpty())
 
 	ts.set(target, entry, now)
 	ts.remove("entries/i-1", now.Add(2*time.Second), now)
--- a/plugins/replica/targets.go
+++ b/plugins/replica/targets.go
@@ -118,15 +118,17 @@
 	return a
 }
 
-// list returns the entries of current incarnations as an immutable list.
-func (t *targets) list(position model.Position) *model.TargetList {
+// list returns the entries of current incarnations as an immutable list. listed returns the
+// target that is published for an entry.
+func (t *targets) list(position model.Position, listed func(*model.Target) *model.Target) *model.TargetList {
 	l := &model.TargetList{
 		Position:  position,
 		ByID:      make(map[model.TargetID]*model.Target, len(t.entries)),
 		ByService: map[string][]*model.Target{},
 	}
 	domains := map[netip.Addr]string{}
-	for _, target := range currentIncarnations(t.entries) {
+	for _, entry := range currentIncarnations(t.entries) {
+		target := listed(entry)
 		l.ByID[target.ID] = target
 		l.ByService[target.Service] = append(l.ByService[target.Service], target)
 		domains[target.Address.Addr()] = target.Domain
--- a/plugins/sidecar/announcement.go
+++ b/plugins/sidecar/announcement.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/bronzemast/bronzemast/config/ingress"
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/ratelimit"
@@ -97,38 +98,58 @@
 func (i *instance) learn(known targetState, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if known.Limited && known.StartedAt == i.startedMillis() && !i.limit.Answered() {
+	switch {
+	case !known.Limited:
+	case known.LimitedFor > 0 && !i.warmup.Limited():
+		// The node has no configuration yet.
+		i.warmup.Configure(ingress.Warmup{Duration: known.LimitedFor, Rate: known.Rate})
+		i.warmup.Assume(now)
+		i.applyLimit(now)
+	case known.LimitedFor == 0 && known.StartedAt == i.startedMillis() && !i.limit.Answered():
 		i.limit.Learn(known.Rate)
 		i.applyLimit(now)
 	}
 }
 
-// applyLimit applies the target's limit to the queue. The caller holds mu.
+// applyLimit applies the limits on the target's rate to the queue. The caller holds mu.
 func (i *instance) applyLimit(now time.Time) {
-	rate, limited := i.limit.Limit()
+	i.heardAt = time.Time{}
+	if _, named := i.limit.Limit(); named {
+		i.heardAt = now
+	}
+	rate, limited := i.rateLimit(now)
 	switch {
 	case limited:
-		i.heardAt = now
 		notify(i.queue.SetRate(rate, now), admissionResult{started: true})
-	case !i.heardAt.IsZero():
-		i.heardAt = time.Time{}
+	case i.rateLimited:
 		notify(i.queue.ClearRate(now), admissionResult{started: true})
 	default:
 		return
 	}
+	i.rateLimited = limited
 	i.armTimer()
 }
 
+// rateLimit returns the rate that the target may be sent, in requests per second: the lower one
+// of the limit that it names and that of its warm-up. The caller holds mu.
+func (i *instance) rateLimit(now time.Time) (rate float64, limited bool) {
+	rate, limited = i.limit.Limit()
+	if cold, isCold := i.warmup.Rate(now); isCold && (!limited || cold < rate) {
+		return cold, true
+	}
+	return rate, limited
+}
+
 // pauseAfterRejection returns how long a node whose request the limit rejected should offer
 // no further one. wait is the time until the limit allows for another request.
 func (i *instance) pauseAfterRejection(sender netip.Addr, wait time.Duration) time.Duration {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	rate, limited := i.limit.Limit()
+	now := time.Now()
+	rate, limited := i.rateLimit(now)
 	if !limited {
 		return wait
 	}
-	now := time.Now()
 	i.senders.Offered(sender, now)
 	return i.senders.Pause(rate, wait, now)
 }
@@ -180,8 +201,12 @@
 func (i *instance) state() targetState {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	now := time.Now()
 	s := targetState{Leaving: i.leaving, StartedAt: i.startedMillis()}
-	s.Rate, s.Limited = i.limit.Limit()
+	s.Rate, s.Limited = i.rateLimit(now)
+	if _, cold := i.warmup.Rate(now); cold {
+		s.LimitedFor = i.warmup.End().Sub(now)
+	}
 	return s
 }
 
@@ -206,18 +231,25 @@
 	if sentAt.Before(r.stateAt) {
 		return // another answer holds a later state
 	}
-	if state.Limited != r.state.Limited || state.Leaving != r.state.Leaving {
+	if state.namesLimit() != r.state.namesLimit() || state.Leaving != r.state.Leaving {
 		l := loggedAnnouncement{limited: state.Limited, rate: state.Rate, leaving: state.Leaving}
 		s.log.Emit(eventAnnounced, l.fields(t.ID, sourcePeer))
 	}
 	r.state, r.stateAt = state, sentAt
-	if state.Limited {
-		r.share.SetRate(s.shareOf(state.Rate), now)
-	} else {
+	r.limitEndsAt = time.Time{}
+	switch {
+	case !state.Limited:
 		r.share.Clear()
+		return
+	case state.LimitedFor > 0:
+		r.limitEndsAt = now.Add(state.LimitedFor)
 	}
+	r.share.SetRate(s.shareOf(state.Rate), now)
 }
 
+// namesLimit reports whether the target itself names a limit, which lasts until it ends it.
+func (s targetState) namesLimit() bool { return s.Limited && s.LimitedFor == 0 }
+
 // incarnationOf returns when the incarnation that the state is about started: that of the
 // entry if the sender does not know it.
 func (s targetState) incarnationOf(t *model.Target) time.Time {
@@ -235,7 +267,11 @@
 	if r == nil {
 		return targetState{}
 	}
-	return r.state
+	state := r.state
+	if !r.limitEndsAt.IsZero() {
+		state.LimitedFor = max(time.Until(r.limitEndsAt), time.Millisecond)
+	}
+	return state
 }
 
 // limits returns the limits of the host's own targets in requests per second, by target.
--- a/plugins/sidecar/choose.go
+++ b/plugins/sidecar/choose.go
@@ -23,6 +23,8 @@
 	// then rejected without an attempt.
 	fullFor        time.Duration
 	unreachableFor time.Duration
+	// evacuated is set if targets are in a failure domain that an operator evacuates.
+	evacuated bool
 	// limited is set if fullFor is due to the rate that a target accepts.
 	limited bool
 }
@@ -52,7 +54,11 @@
 	var noTarget choice
 	eligible, candidates := s.eligible[:0], s.candidates[:0]
 	for _, t := range targets {
-		if t.Leaving || c.excludedTargets[t.ID] || s.departures.includes(t) {
+		if t.Evacuated {
+			noTarget.evacuated = true
+			continue
+		}
+		if t.Leaving || c.excludedTargets[t.ID] || !c.route.Allows(t.Region) || s.departures.includes(t) {
 			continue
 		}
 		r := s.target(t, now)
--- a/plugins/sidecar/crash.go
+++ b/plugins/sidecar/crash.go
@@ -20,7 +20,10 @@
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	return inst.crashes.Crashed(ctx, refuses, func(suspects []quarantine.Fingerprint) {
-		s.quarantine.RecordCrash(suspects)
-		s.log.Emit(eventTargetCrashed, event.Fields{"target": h.Instance, "fingerprints": quarantine.Texts(suspects)})
+		overloaded := inst.overloadedWhileCold()
+		if !overloaded {
+			s.quarantine.RecordCrash(suspects)
+		}
+		s.log.Emit(eventTargetCrashed, event.Fields{"target": h.Instance, "fingerprints": quarantine.Texts(suspects), "overloaded_cold": overloaded})
 	})
 }
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -162,12 +162,19 @@
 	case chosen.unreachableFor > 0:
 		a = notRunAnswer(model.ReasonUnreachable)
 		a.RetryAfter = chosen.unreachableFor
+	case chosen.evacuated:
+		a = notRunAnswer(model.ReasonEvacuated)
+		a.RetryAfter = evacuatedRetryAfter
 	default:
 		a = notRunAnswer(model.ReasonNoTarget)
 	}
 	return a
 }
 
+// evacuatedRetryAfter is the retry delay sent to callers while all targets are in evacuated
+// failure domains. An operator ends an evacuation, so that nothing says when.
+const evacuatedRetryAfter = time.Second
+
 // evaluateAttempt updates the call after an attempt and reports whether the attempt is
 // final. It returns false if the call goes to another target.
 func (e *entry) evaluateAttempt(ctx context.Context, c *call, t *model.Target, a *answer) bool {
--- a/plugins/sidecar/events.go
+++ b/plugins/sidecar/events.go
@@ -74,10 +74,18 @@
 		Number:  2209,
 		Level:   logrus.WarnLevel,
 		Message: "target crashed",
-		Fields:  []string{"target", "fingerprints"},
-		Meaning: "The host's own target ended its connections without answers and refuses new ones, though it had not announced its shutdown. fingerprints identifies the requests that it was running and had never completed: equal requests have equal fingerprints.",
+		Fields:  []string{"target", "fingerprints", "overloaded_cold"},
+		Meaning: "The host's own target ended its connections without answers and refuses new ones, though it had not announced its shutdown. fingerprints identifies the requests that it was running and had never completed: equal requests have equal fingerprints. overloaded_cold is set if the target was cold and had got more requests than it tolerates then; the crash does not count against the requests.",
 		Action:  "If one fingerprint is among those of several crashes, the request probably causes them: find it by the field fingerprint of the \"target side ended\" lines. Otherwise look for the cause at the target.",
 	})
+	eventWarmup = event.Define(event.Event{
+		Number:  2210,
+		Level:   logrus.InfoLevel,
+		Message: "target may be cold",
+		Fields:  []string{"target", "cold_ms", "source"},
+		Meaning: "The node takes the host's own target to be cold for cold_ms more, and keeps its requests within the rate that the configuration gives for cold targets. source tells why: its entry, a start, the end of an evacuation, a new connection after it was unreachable, or its answer to a health check, which replaces the other sources.",
+		Action:  "None.",
+	})
 	eventDrain = event.Define(event.Event{
 		Number:  2205,
 		Level:   logrus.InfoLevel,
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -148,6 +148,9 @@
 	// StartedAt identifies the incarnation of the target: the time of its start, as Unix
 	// time in milliseconds, 0 if it is not known.
 	StartedAt int64 `cbor:"4,keyasint,omitempty"`
+	// LimitedFor is how long a limit holds that is due to the target's warm-up, 0 for one
+	// that the target ends itself.
+	LimitedFor time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // set adds the state to the header of a request or response.
--- a/plugins/sidecar/instance.go
+++ b/plugins/sidecar/instance.go
@@ -10,6 +10,7 @@
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/ratelimit"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/slotqueue"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/warmup"
 )
 
 // instance is one incarnation of the local target, with its slots, queue, connections and
@@ -29,6 +30,8 @@
 	// slowdown is the current run time of requests relative to their route's mean.
 	slowdown    float64
 	failureRate decayingRate
+	// onReachable, unless it is nil, is called when the target accepts connections again.
+	onReachable func()
 	// reachability tracks whether the target accepts connections.
 	reachability reachability
 	// replacedUntil is the time until which another instance is assumed to run at the
@@ -41,6 +44,15 @@
 	limit   ratelimit.Announced
 	heardAt time.Time
 	leaving bool
+	// warmup limits the rate while the target is cold, and rateLimited is set while either
+	// limit applies to the queue.
+	warmup      warmup.Gate
+	rateLimited bool
+	// entryPosition and returnedAt are those of the target's entry that was last observed.
+	entryPosition model.Position
+	returnedAt    time.Time
+	// health tracks the health check that tells whether the target is cold.
+	health healthCheck
 	// senders counts the nodes that share the limit.
 	senders ratelimit.Senders
 	// logged is the announcement that was last logged.
@@ -80,7 +92,9 @@
 	w := &waiter{result: make(chan admissionResult, 1)}
 	t.Owner = w
 	i.mu.Lock()
-	outcome, wait := i.queue.Offer(t, maxQueueWait, time.Now())
+	now := time.Now()
+	i.applyLimit(now)
+	outcome, wait := i.queue.Offer(t, maxQueueWait, now)
 	i.armTimer()
 	i.mu.Unlock()
 	switch outcome {
@@ -133,6 +147,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := time.Now()
+	i.applyLimit(now)
 	notify(i.queue.Fill(now), admissionResult{started: true})
 	expired := i.queue.Expire(now)
 	notify(expired, admissionResult{wait: i.queue.ExpectedWait(now)})
@@ -141,11 +156,15 @@
 
 // armTimer sets the timer to the next change of the queue. The caller holds mu.
 func (i *instance) armTimer() {
-	at, ok := i.queue.NextChange(time.Now())
+	now := time.Now()
+	at, ok := i.queue.NextChange(now)
 	if !ok {
 		i.timer.Stop()
 		return
 	}
+	if change := i.warmup.NextChange(now); !change.IsZero() && change.Before(at) {
+		at = change
+	}
 	i.timer.Reset(max(time.Until(at), 0) + time.Millisecond)
 }
 
--- a/plugins/sidecar/instancehealth.go
+++ b/plugins/sidecar/instancehealth.go
@@ -41,6 +41,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.reachability.recordProbe(err == nil, time.Now())
+	if err == nil && i.onReachable != nil {
+		go i.onReachable()
+	}
 }
 
 // replacedTimeout is how long an instance is considered replaced after another instance has
--- a/plugins/sidecar/metrics.go
+++ b/plugins/sidecar/metrics.go
@@ -16,6 +16,7 @@
 	retries      expvar.Int
 	budgetEmpty  expvar.Int
 	canceled     expvar.Int
+	healthChecks expvar.Int
 	// unknownHeaders counts answers of the target by unknown header.
 	unknownHeaders expvar.Map
 	// requestLatency is the time from receiving a request to writing its answer, and
@@ -32,6 +33,7 @@
 	m.Set("retries", &s.retries)
 	m.Set("retry_budget_empty", &s.budgetEmpty)
 	m.Set("canceled", &s.canceled)
+	m.Set("health_checks", &s.healthChecks)
 	m.Set("unknown_headers", s.unknownHeaders.Init())
 	m.Set("request_latency", s.requestLatency)
 	m.Set("slot_wait", s.slotWait)
--- a/plugins/sidecar/ratelimit/bucket.go
+++ b/plugins/sidecar/ratelimit/bucket.go
@@ -44,6 +44,11 @@
 	b.tokens = min(b.tokens, b.capacity())
 }
 
+// SetTokens replaces the tokens that are saved, within the capacity.
+func (b *Bucket) SetTokens(tokens float64, now time.Time) {
+	b.tokens, b.refilledAt = min(tokens, b.capacity()), now
+}
+
 // Clear removes the limit.
 func (b *Bucket) Clear() { *b = Bucket{} }
 
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -188,6 +188,7 @@
 	s.targetSide.onNested = s.entry.stats.recordNested
 	s.entry.stats.departures = s.targetSide.departures
 	s.entry.stats.fleetSize = hosts
+	s.entry.stats.warmup = func(service string) ingress.Warmup { return warmupOf(replica.Table(), service) }
 	ctx.Metrics().Set("target_limits", expvar.Func(func() any { return s.targetSide.limits() }))
 	s.entry.sender = s.newSender(peer, transport, replica)
 	s.entry.sender.quarantine = quarantine
@@ -221,9 +222,21 @@
 	return sender
 }
 
+// warmupOf returns the warm-up of a service's targets, none if the table has no such service.
+func warmupOf(table *ingress.Table, name string) ingress.Warmup {
+	if table == nil {
+		return ingress.Warmup{}
+	}
+	service := table.Service(name)
+	if service == nil {
+		return ingress.Warmup{}
+	}
+	return service.Warmup
+}
+
 // retain drops the state of targets and hosts that are not in the list.
 func (s *Sidecar) retain(list *model.TargetList) {
-	s.targetSide.retain(list)
+	s.targetSide.update(list)
 	s.entry.stats.retain(list)
 	s.entry.sender.retain(list)
 }
--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -45,6 +45,7 @@
 // exchangeWithTarget sends a request to the target and reads the answer.
 func (s *targetSide) exchangeWithTarget(ctx context.Context, inst *instance, h *handover, header http.Header, body *messageBody) *answer {
 	start := time.Now()
+	inst.recordSent(start)
 	response, err := inst.pool.RoundTrip(ctx, &httpconn.Request{
 		Method: h.Method,
 		Target: h.Target,
@@ -68,6 +69,9 @@
 // complete.
 func (s *targetSide) connectionLost(ctx context.Context, inst *instance, h *handover, err error) *answer {
 	a := s.noAnswer(ctx, inst, err)
+	if a.Reason == model.ReasonTargetLost {
+		s.checkHealth(inst, h.Instance, healthCheckInterval)
+	}
 	if a.Reason == model.ReasonTargetLost && s.targetCrashed(ctx, inst, h) {
 		a.Reason = model.ReasonTargetCrashed
 	}
@@ -146,6 +150,9 @@
 	a.Failed = a.status >= http.StatusInternalServerError
 	if !a.Failed {
 		inst.recordRun(h.Route, a.RunTime)
+		if inst.mayBeCold() {
+			s.checkHealth(inst, h.Instance, slowdownInterval)
+		}
 	}
 	inst.recordResult(a.Failed && a.status != http.StatusGatewayTimeout)
 	if !body.buffered() {
--- a/plugins/sidecar/targetinstances.go
+++ b/plugins/sidecar/targetinstances.go
@@ -17,13 +17,18 @@
 		return nil, model.ReasonDraining
 	}
 	t := s.replica.Targets().ByID[h.Instance]
+	if t != nil && t.Evacuated {
+		return nil, model.ReasonEvacuated
+	}
 	if t != nil && (t.Address != s.address || t.Service != h.Service) {
 		return nil, model.ReasonNoTarget
 	}
 	inst := s.instance(h.Instance)
 	if t != nil {
 		inst.resize(t.Slots)
-		inst.startedAs(t.StartedAt)
+		s.observeEntry(inst, t)
+	} else {
+		s.observeUnlisted(inst, h)
 	}
 	inst.learn(h.known, time.Now())
 	return inst, model.ReasonNone
@@ -37,6 +42,7 @@
 	if inst == nil {
 		inst = newInstance(1, nil)
 		inst.pool = s.pool(inst.crashes)
+		inst.onReachable = func() { s.reachableAgain(inst, id) }
 		s.instances[id] = inst
 	}
 	return inst
@@ -71,6 +77,18 @@
 	return s.departures.includesID(h.Instance) || h.includedIn(s.replica.Position())
 }
 
+// evacuated reports whether an operator evacuates the failure domain of the target.
+func (s *targetSide) evacuated(id model.TargetID) bool {
+	t := s.replica.Targets().ByID[id]
+	return t != nil && t.Evacuated
+}
+
+// update notes what the list says of the targets beside the node, and drops the others.
+func (s *targetSide) update(list *model.TargetList) {
+	s.retain(list)
+	s.observeTargets(list)
+}
+
 // retain drops the instances that are not in the list, except those that named a limit
 // recently: an entry that lapsed during an outage of the store may come back.
 func (s *targetSide) retain(list *model.TargetList) {
--- a/plugins/sidecar/targetreport.go
+++ b/plugins/sidecar/targetreport.go
@@ -32,9 +32,10 @@
 		return
 	}
 	r.peer.recordAnswer()
-	if a.Reason == model.ReasonUnreachable || a.Reason == model.ReasonNoTarget {
+	switch a.Reason {
+	case model.ReasonUnreachable, model.ReasonNoTarget, model.ReasonEvacuated:
 		r.startCooldown(now)
-	} else {
+	default:
 		r.cooldown, r.cooldownUntil = 0, time.Time{}
 	}
 	// The report may have been on its way for the whole of the round trip.
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -146,6 +146,10 @@
 		inst.release(t)
 		return notRunAnswer(model.ReasonDraining)
 	}
+	if s.evacuated(h.Instance) {
+		inst.release(t)
+		return notRunAnswer(model.ReasonEvacuated)
+	}
 	if retryAfter, ok := guard.Check(); !ok {
 		inst.release(t)
 		return s.quarantined(h, body, retryAfter)
--- a/plugins/sidecar/targetstats.go
+++ b/plugins/sidecar/targetstats.go
@@ -24,6 +24,8 @@
 	departures *departures
 	// fleetSize returns the number of nodes that share a target's limit.
 	fleetSize func() int
+	// warmup returns the warm-up of a service's targets.
+	warmup func(service string) ingress.Warmup
 	// probe checks in the background whether the node beside a target runs, and passes
 	// the result to recordProbe. It does not block.
 	probe func(t *model.Target)
@@ -84,8 +86,13 @@
 	state   targetState
 	stateAt time.Time
 	share   ratelimit.Bucket
-	// coldUntil is the end of the target's cold start.
-	coldUntil time.Time
+	// coldUntil is the end of the target's warm-up, and limitEndsAt that of the limit in
+	// state, zero if only the target ends it.
+	coldUntil   time.Time
+	limitEndsAt time.Time
+	// entryPosition and returnedAt are those of the target's entry that was last seen.
+	entryPosition model.Position
+	returnedAt    time.Time
 	// fullUntil is the time until which the target is expected to reject requests of rank
 	// fullRank and of lower priority (a greater rank).
 	fullUntil time.Time
@@ -115,7 +122,7 @@
 	failureHalfLife  = 5 * time.Second
 	estimateHalfLife = 10 * time.Second
 	lagHalfLife      = time.Second
-	// coldRunTimeFactor is the least relative run time assumed during a cold start.
+	// coldRunTimeFactor is the least relative run time assumed while a target is cold.
 	coldRunTimeFactor = 2
 	// initialRoundTrip is the round-trip time assumed until a target has answered.
 	initialRoundTrip = 2 * time.Millisecond
@@ -137,6 +144,7 @@
 		log:        log,
 		departures: newDepartures(),
 		fleetSize:  func() int { return 1 },
+		warmup:     func(string) ingress.Warmup { return ingress.Warmup{} },
 		targets:    map[model.TargetID]*targetRecord{},
 		routes:     map[string]*routeRecord{},
 	}
@@ -172,12 +180,14 @@
 func (s *targetStats) target(t *model.Target, now time.Time) *targetRecord {
 	r := s.targets[t.ID]
 	if r == nil {
-		r = &targetRecord{relativeRunTime: 1, estimatedAt: now, coldUntil: now.Add(t.SlowStartRemaining), roundTrip: initialRoundTrip}
+		r = &targetRecord{relativeRunTime: 1, estimatedAt: now, roundTrip: initialRoundTrip}
 		if t.Address.Addr() == s.self {
 			r.roundTrip = 0
 		}
 		s.targets[t.ID] = r
 	}
+	s.observeEntry(t, r, now)
+	r.endWarmup(now)
 	return r
 }
 
