--- a/model/outcome.go
+++ b/model/outcome.go
@@ -85,6 +85,9 @@
 	// ReasonQuarantined is a request that is kept from targets because they have crashed while
 	// they ran it.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonLinkFull is a request whose answer cannot be sent in time, since the link of the
+	// target's host is full.
+	ReasonLinkFull Reason = "link-full"
 	// ReasonEvacuated is a target in a failure domain that an operator evacuates.
 	ReasonEvacuated   Reason = "evacuated"
 	ReasonPeerLost    Reason = "peer-lost"
--- a/plugins/sidecar/announcement.go
+++ b/plugins/sidecar/announcement.go
@@ -235,6 +235,8 @@
 		l := loggedAnnouncement{limited: state.Limited, rate: state.Rate, leaving: state.Leaving}
 		s.log.Emit(eventAnnounced, l.fields(t.ID, sourcePeer))
 	}
+	r.linkFreeAt = sentAt.Add(state.LinkWait)
+	state.LinkWait = 0 // it is not passed on
 	r.state, r.stateAt = state, sentAt
 	r.limitEndsAt = time.Time{}
 	switch {
--- a/plugins/sidecar/body.go
+++ b/plugins/sidecar/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 
 	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/model"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/uplink"
 	"github.com/pkg/errors"
 )
 
@@ -103,6 +105,15 @@
 // buffered reports whether the complete body is in memory, so that it can be sent again.
 func (m *messageBody) buffered() bool { return m.rest == nil }
 
+// size returns the length of the body in bytes, -1 if it is not known in advance. A nil body is
+// empty.
+func (m *messageBody) size() int64 {
+	if m == nil {
+		return 0
+	}
+	return m.length
+}
+
 // fingerprint returns the fingerprint of a request with this body. It must be called before a
 // streamed body is read.
 func (m *messageBody) fingerprint(method, authority, target string) quarantine.Fingerprint {
@@ -149,9 +160,11 @@
 	return deadline.Add(maxWriteStall)
 }
 
-// writeResponse writes the response to a request with a deadline. A body that ends early aborts
-// the connection, so that the receiver can't take it for a complete one.
-func writeResponse(w http.ResponseWriter, status int, body *messageBody, method string, deadline time.Time) {
+// writeResponse writes the response to a request with a deadline. A large body is written when the
+// host's link is free for it. A body that ends early aborts the connection, so that the receiver
+// can't take it for a complete one.
+func writeResponse(ctx context.Context, w http.ResponseWriter, a *answer, method string, deadline time.Time) {
+	status, body := a.status, a.body
 	if body == nil {
 		body = &messageBody{}
 	}
@@ -167,7 +180,7 @@
 	if reader == nil {
 		return
 	}
-	n, err := io.Copy(w, reader)
+	n, err := io.Copy(uplink.NewWriter(ctx, w, a.link), reader)
 	if err != nil || body.length >= 0 && n != body.length {
 		panic(http.ErrAbortHandler)
 	}
--- a/plugins/sidecar/choose.go
+++ b/plugins/sidecar/choose.go
@@ -25,8 +25,10 @@
 	unreachableFor time.Duration
 	// evacuated is set if targets are in a failure domain that an operator evacuates.
 	evacuated bool
-	// limited is set if fullFor is due to the rate that a target accepts.
-	limited bool
+	// limited is set if fullFor is due to the rate that a target accepts, linkFull if it is
+	// due to the link of a target.
+	limited  bool
+	linkFull bool
 }
 
 // choose returns the target with the lowest cost among those eligible for a call.
@@ -48,6 +50,7 @@
 		nested:             s.route(c.route.Name).nested,
 		runTime:            s.meanRunTime(c.route.Name, c.route.Objective),
 		objectiveRemaining: objectiveRemaining,
+		answerBytes:        int64(s.route(c.route.Name).meanAnswerBytes),
 		occupancy:          occupancy,
 		remoteCost:         s.settings.Load().RemoteCost,
 	}
@@ -70,6 +73,10 @@
 			noTarget.addFull(r, now)
 			continue
 		}
+		if r.linkFull(&request, now) {
+			noTarget.addLinkFull(r.linkFullUntil.Sub(now))
+			continue
+		}
 		candidate := s.candidate(t, r, &request, now)
 		candidate.Rejected = c.fullTargets[t.ID]
 		eligible = append(eligible, t)
@@ -112,7 +119,14 @@
 		wait = max(wait, r.fullUntil.Sub(now))
 	}
 	if c.fullFor == 0 || wait < c.fullFor {
-		c.fullFor, c.limited = wait, r.state.Limited
+		c.fullFor, c.limited, c.linkFull = wait, r.state.Limited, false
+	}
+}
+
+// addLinkFull records that the link of a target is full for a time.
+func (c *choice) addLinkFull(wait time.Duration) {
+	if c.fullFor == 0 || wait < c.fullFor {
+		c.fullFor, c.limited, c.linkFull = wait, false, true
 	}
 }
 
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -12,6 +12,7 @@
 	"github.com/bronzemast/bronzemast/internal/httpserver"
 	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/model"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/uplink"
 )
 
 // entry is the node's outbound role: it accepts requests from callers on its own host and
@@ -30,6 +31,8 @@
 	drain    *drain
 	// quarantine keeps requests from targets that crash while they run them.
 	quarantine model.Quarantine
+	// uplink is the host's link, which large answers share.
+	uplink *uplink.Scheduler
 	// table is the routing table used for the latest request.
 	table atomic.Pointer[ingress.Table]
 }
@@ -103,7 +106,7 @@
 		e.tracer.request(c, a, 0, 0, e.replica.Position())
 		panic(http.ErrAbortHandler) // the caller has disconnected
 	}
-	e.writeAnswer(w, c, a)
+	e.writeAnswer(r.Context(), w, c, a)
 }
 
 // runAttempts makes attempts until one is final or no target is left, and returns the
@@ -156,8 +159,11 @@
 	case chosen.fullFor > 0:
 		a = notRunAnswer(model.ReasonOverloaded)
 		a.RetryAfter = chosen.fullFor
-		if chosen.limited {
+		switch {
+		case chosen.limited:
 			a.Reason = model.ReasonTargetLimited
+		case chosen.linkFull:
+			a.Reason = model.ReasonLinkFull
 		}
 	case chosen.unreachableFor > 0:
 		a = notRunAnswer(model.ReasonUnreachable)
@@ -196,10 +202,11 @@
 	})
 	switch next {
 	case planFailover:
-		if a.Reason == model.ReasonOverloaded || a.Reason == model.ReasonTargetLimited {
+		switch a.Reason {
+		case model.ReasonOverloaded, model.ReasonTargetLimited, model.ReasonLinkFull:
 			c.fullTargets[t.ID] = true
 			c.fullRetryAfter = a.RetryAfter
-		} else {
+		default:
 			c.excludedTargets[t.ID] = true
 		}
 		return false
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -151,11 +151,14 @@
 	// LimitedFor is how long a limit holds that is due to the target's warm-up, 0 for one
 	// that the target ends itself.
 	LimitedFor time.Duration `cbor:"5,keyasint,omitempty"`
+	// LinkWait is the time until the large answers are through that the node beside the
+	// target has to send.
+	LinkWait time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // set adds the state to the header of a request or response.
 func (s targetState) set(header http.Header) {
-	if s.Limited || s.Leaving {
+	if s.Limited || s.Leaving || s.LinkWait > 0 {
 		header[headerTargetState] = []string{cborheader.Encode(s)}
 	}
 }
--- a/plugins/sidecar/instance.go
+++ b/plugins/sidecar/instance.go
@@ -27,6 +27,8 @@
 	timer *time.Timer
 	// meanRunTimes holds the mean run time of each route, without the current slowdown.
 	meanRunTimes map[string]time.Duration
+	// meanAnswerBytes holds the mean size of the answers of each route.
+	meanAnswerBytes map[string]float64
 	// slowdown is the current run time of requests relative to their route's mean.
 	slowdown    float64
 	failureRate decayingRate
@@ -67,6 +69,8 @@
 		queue:        slotqueue.New(slots),
 		meanRunTimes: map[string]time.Duration{},
 		slowdown:     1,
+
+		meanAnswerBytes: map[string]float64{},
 	}
 	inst.timer = time.AfterFunc(time.Hour, inst.advance)
 	inst.timer.Stop()
--- a/plugins/sidecar/placement/placement.go
+++ b/plugins/sidecar/placement/placement.go
@@ -22,6 +22,8 @@
 	ObjectiveRemaining time.Duration
 	// RoundTrip is the network round-trip time.
 	RoundTrip time.Duration
+	// LinkWait is the time for which the answer is expected to wait for the target's link.
+	LinkWait time.Duration
 	// RemoteCost is the cost of the bytes that leave the failure domain, 0 if the target
 	// is in the node's own. Like all costs, it is in units of a request that misses its
 	// objective.
@@ -68,7 +70,7 @@
 	if waiting := c.Occupied + 1 - slots; waiting > 0 {
 		expected += runTime * waiting / slots
 	}
-	return time.Duration(expected) + c.RoundTrip
+	return time.Duration(expected) + c.LinkWait + c.RoundTrip
 }
 
 // Cost returns the expected cost of placing the request on the candidate.
--- a/plugins/sidecar/response.go
+++ b/plugins/sidecar/response.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -11,7 +12,7 @@
 // writeAnswer records and logs the outcome of a call and writes the response to its
 // caller: the target's answer, or a local reply if the request did not run or its answer
 // was lost.
-func (e *entry) writeAnswer(w http.ResponseWriter, c *call, a *answer) {
+func (e *entry) writeAnswer(ctx context.Context, w http.ResponseWriter, c *call, a *answer) {
 	e.metrics.outcome(a.Outcome, a.status)
 	e.metrics.requestLatency.Observe(time.Since(c.receivedAt))
 	if a.status == 0 || a.Outcome != model.OutcomeRan {
@@ -26,7 +27,10 @@
 	for name, values := range forwardedHeaders(a.header) {
 		header[name] = values
 	}
-	writeResponse(w, a.status, a.body, c.method, c.deadline)
+	if a.link == nil {
+		a.link = e.uplink.Add(a.body.size())
+	}
+	writeResponse(ctx, w, a, c.method, c.deadline)
 }
 
 // finalReason returns the reason reported to the caller: the deadline if it has passed and
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -22,6 +22,7 @@
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/nesting"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/uplink"
 	"github.com/pkg/errors"
 )
 
@@ -75,6 +76,9 @@
 	Linger jsonc.Duration `json:"linger"`
 	// Grace bounds the total time of draining, linger time included.
 	Grace jsonc.Duration `json:"grace"`
+	// LinkMbps is the rate of the host's link in Mbit/s, 0 if it is not known. Large answers
+	// share it. A change takes effect when the node restarts.
+	LinkMbps float64 `json:"link_mbps"`
 	// LogLines bounds the log lines about requests, per second. A change takes effect when
 	// the node restarts.
 	LogLines float64 `json:"log_lines"`
@@ -149,6 +153,8 @@
 	s.tracer = newTracer(ctx.Log(), s.settings.LogLines)
 	s.spawn = ctx.Go
 	m := newMetrics(ctx.Metrics())
+	link := uplink.New(s.settings.LinkMbps)
+	ctx.Metrics().Set("link_backlog_ms", expvar.Func(func() any { return link.Backlog().Milliseconds() }))
 	hosts := func() int { return len(replica.Targets().Hosts) }
 	s.targetSide = &targetSide{
 		address:   target,
@@ -169,6 +175,7 @@
 		}},
 		departures: newDepartures(),
 		quarantine: quarantine,
+		uplink:     link,
 	}
 	s.entry = &entry{
 		host:     ctx.Host(),
@@ -183,6 +190,7 @@
 		drain:    s.drain,
 
 		quarantine: quarantine,
+		uplink:     link,
 	}
 	quarantine.SetPeers(func() []string { return peerAddresses(replica.Targets(), peer.Port()) })
 	s.targetSide.onNested = s.entry.stats.recordNested
@@ -298,6 +306,7 @@
 	doc.RequireNonNegative(findings,
 		jsonc.NonNegative{Field: "retry_reserve", Value: s.RetryReserve},
 		jsonc.NonNegative{Field: "remote_cost", Value: s.RemoteCost},
+		jsonc.NonNegative{Field: "link_mbps", Value: s.LinkMbps},
 	)
 }
 
--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -150,6 +150,7 @@
 	a.Failed = a.status >= http.StatusInternalServerError
 	if !a.Failed {
 		inst.recordRun(h.Route, a.RunTime)
+		inst.recordAnswerBytes(h.Route, body.length)
 		if inst.mayBeCold() {
 			s.checkHealth(inst, h.Instance, slowdownInterval)
 		}
--- a/plugins/sidecar/targetreport.go
+++ b/plugins/sidecar/targetreport.go
@@ -42,12 +42,16 @@
 	roundTrip := max(took-a.TimeAtNode, 0)
 	r.load, r.loadAt, r.sentSince = a.Load, now.Add(-roundTrip), 0
 	s.updateState(t, r, a.announced, now.Add(-roundTrip), now)
-	if a.FullFor > 0 {
+	switch {
+	case a.FullFor > 0 && a.Reason == model.ReasonLinkFull:
+		r.recordLinkFull(a.FullFor, now)
+	case a.FullFor > 0:
 		r.fullUntil, r.fullRank = now.Add(s.fullFor(r, t, c.route, a.FullFor)), c.route.Rank
 	}
 	s.route(route).nested, s.route(route).service = a.Nested, c.service
 	if a.Outcome == model.OutcomeRan && !a.Failed {
 		s.updateRunTime(r, route, a.RunTime)
+		s.route(route).recordAnswerBytes(a.body.size())
 	}
 	r.estimatedAt = now
 	if a.TimeAtNode > 0 && roundTrip > 0 && t.Address.Addr() != s.self {
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -14,6 +14,8 @@
 	"github.com/bronzemast/bronzemast/internal/unknownheader"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/nesting"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/slotqueue"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/uplink"
 )
 
 // targetSide is the inbound role of the node beside a target. All requests to the target
@@ -37,6 +39,8 @@
 	unknownHeaders *unknownheader.Recorder
 	departures     *departures
 	quarantine     model.Quarantine
+	// uplink is the host's link, which large answers share.
+	uplink *uplink.Scheduler
 	// onNested is called with whether the requests of a route appear to be calls made by
 	// targets.
 	onNested func(route, service string, nested bool)
@@ -51,6 +55,8 @@
 	body   *messageBody
 	// release frees the resources of an attempt whose body is streamed; nil otherwise.
 	release func()
+	// link is the answer's reservation on the host's link, nil if it is not large.
+	link *uplink.Reservation
 	// fingerprint identifies a request that reached the target; zero otherwise.
 	fingerprint quarantine.Fingerprint
 }
@@ -58,6 +64,7 @@
 // close releases an answer that is not, or no longer, needed.
 func (a *answer) close() {
 	a.body.close()
+	a.link.Release()
 	if a.release != nil {
 		a.release()
 	}
@@ -104,6 +111,7 @@
 	a.Load = inst.load()
 	a.Load.Leaving = s.drain.closed()
 	a.announced = inst.state()
+	a.announced.LinkWait = s.uplink.Backlog()
 	if a.release == nil {
 		cancel()
 		return a
@@ -136,6 +144,18 @@
 		return notRunAnswer(model.ReasonOverloaded) // another target may be faster
 	}
 	adm.late, adm.startWithin = t.Late, t.StartBy.Sub(arrived)
+	link, wait, ok := s.reserveLink(inst.expectedBytes(h.Route), adm.startWithin+adm.expected)
+	if !ok {
+		return linkFullAnswer(wait)
+	}
+	a := s.runWithSlot(ctx, inst, h, adm, t, guard, header, body)
+	s.holdLink(a, link)
+	return a
+}
+
+// runWithSlot waits for a slot and runs a request.
+func (s *targetSide) runWithSlot(ctx context.Context, inst *instance, h *handover, adm *admission, t *slotqueue.Ticket, guard *quarantine.Guard, header http.Header, body *messageBody) *answer {
+	arrived := time.Now()
 	started, retryAfter := inst.acquire(ctx, t, h.MaxQueueWait)
 	adm.waited = time.Since(arrived)
 	s.metrics.slotWait.Observe(adm.waited)
@@ -199,7 +219,7 @@
 	if a.status == 0 {
 		a.status = http.StatusServiceUnavailable
 	}
-	writeResponse(w, a.status, a.body, h.Method, received.Add(h.Remaining))
+	writeResponse(r.Context(), w, a, h.Method, received.Add(h.Remaining))
 }
 
 // parseHost parses the address of a host, the zero address if it is not one.
--- a/plugins/sidecar/targetstats.go
+++ b/plugins/sidecar/targetstats.go
@@ -12,6 +12,7 @@
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/placement"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/ratelimit"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/uplink"
 )
 
 // targetStats holds the node's estimates of targets and routes, taken from the answers that
@@ -48,6 +49,8 @@
 	// objective is missed.
 	runTime            time.Duration
 	objectiveRemaining time.Duration
+	// answerBytes is the expected size of the answer, 0 if it is not known.
+	answerBytes int64
 	// occupancy is the mean number of requests per slot of the service's targets, and
 	// remoteCost the cost of leaving the failure domain.
 	occupancy  float64
@@ -97,6 +100,10 @@
 	// fullRank and of lower priority (a greater rank).
 	fullUntil time.Time
 	fullRank  int
+	// linkFullUntil is the time until which the target is expected to reject requests with
+	// large answers, and linkFreeAt that at which the answers that it holds are through.
+	linkFullUntil time.Time
+	linkFreeAt    time.Time
 }
 
 // routeRecord holds the estimates of one route.
@@ -106,6 +113,8 @@
 	// maxCallerTimeout is the longest remaining time that a caller has given. A caller
 	// that retries has less left, so the difference is the time since its first attempt.
 	maxCallerTimeout time.Duration
+	// meanAnswerBytes is the mean size of answers, 0 if unknown.
+	meanAnswerBytes float64
 	// nested is set when the route carries calls made by targets, and service is then the
 	// service that they go to.
 	nested  bool
@@ -325,6 +334,9 @@
 	if r.load.FailureRate != 0 {
 		c.FailureRate = r.load.FailureRate * decay(loadAge, failureHalfLife)
 	}
+	if request.answerBytes >= uplink.LargeBytes {
+		c.LinkWait = max(r.linkFreeAt.Sub(now), 0)
+	}
 	if t.Domain != s.domain {
 		c.RemoteCost = request.remoteCost
 	}
--- a/plugins/sidecar/warmup/gate.go
+++ b/plugins/sidecar/warmup/gate.go
@@ -52,8 +52,16 @@
 	}
 }
 
-// Report records how much longer the target is cold according to its own report.
-func (g *Gate) Report(remaining time.Duration, now time.Time) { g.until = now.Add(remaining) }
+// Report records how much longer the target is cold according to its own report. If it is not,
+// there is no limit, except for the rest of the rise after a warm-up.
+func (g *Gate) Report(remaining time.Duration, now time.Time) {
+	switch {
+	case remaining > 0:
+		g.until = now.Add(remaining)
+	case g.Cold(now):
+		g.until = time.Time{}
+	}
+}
 
 // Cold reports whether the target is cold.
 func (g *Gate) Cold(now time.Time) bool { return g.Limited() && now.Before(g.until) }
--- a/plugins/sidecar/warmup/gate_test.go
+++ b/plugins/sidecar/warmup/gate_test.go
@@ -44,6 +44,22 @@
 	g.Expect(gate.Cold(start.Add(1400*time.Millisecond))).To(BeTrue(), "an earlier end changes nothing")
 }
 
+func TestTargetThatReportsThatItIsWarmIsNotLimited(t *testing.T) {
+	g := NewWithT(t)
+	gate := newGate()
+	gate.Report(0, start)
+	_, limited := gate.Rate(start)
+	g.Expect(limited).To(BeFalse())
+	gate.Assume(start)
+	gate.Report(0, start.Add(time.Second))
+	_, limited = gate.Rate(start.Add(time.Second))
+	g.Expect(limited).To(BeFalse(), "it was only assumed to be cold")
+	gate.Extend(start.Add(2 * time.Second))
+	gate.Report(0, start.Add(2100*time.Millisecond))
+	_, limited = gate.Rate(start.Add(2100 * time.Millisecond))
+	g.Expect(limited).To(BeTrue(), "the rate still rises after its warm-up")
+}
+
 func TestRateRisesInStepsAfterTheWarmup(t *testing.T) {
 	g := NewWithT(t)
 	gate := newGate()
