--- a/plugins/sidecar/accept.go
+++ b/plugins/sidecar/accept.go
@@ -78,6 +78,7 @@
 // is the earlier of the caller's deadline and the route's timeout.
 func (e *entry) newCall(r *http.Request, head model.RequestHead, target string, route *ingress.Route) *call {
 	receivedAt := time.Now()
+	elapsed := e.stats.elapsed(route.Name, head.Remaining)
 	c := &call{
 		id:                head.ID,
 		method:            r.Method,
@@ -89,7 +90,8 @@
 		receivedAt:        receivedAt,
 		deadline:          receivedAt.Add(route.Timeout),
 		callerTimeout:     route.Timeout,
-		objectiveDeadline: receivedAt.Add(route.Objective - e.stats.elapsed(route.Name, head.Remaining)),
+		objectiveDeadline: receivedAt.Add(route.Objective - elapsed),
+		cameBack:          elapsed > 0,
 		fullTargets:       map[model.TargetID]bool{},
 		excludedTargets:   map[model.TargetID]bool{},
 	}
--- a/plugins/sidecar/budgets.go
+++ b/plugins/sidecar/budgets.go
@@ -50,9 +50,7 @@
 // retryCost names the budgets that a retry is charged to.
 type retryCost struct {
 	service string
-	// nested is set if the request is a call made by a target. Such calls are urgent, since
-	// their failure wastes the parent's whole run.
-	nested bool
+	urgency retrybudget.Urgency
 	// callees holds the services that a further run may call. These calls are retries as
 	// well, as the first run has made them already.
 	callees []string
@@ -64,15 +62,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, callee := range cost.callees {
-		if !b.budget(callee).Allows(now, false) {
+		if !b.budget(callee).Allows(now, retrybudget.Normal) {
 			return false
 		}
 	}
-	if !b.budget(cost.service).Withdraw(now, cost.nested) {
+	if !b.budget(cost.service).Withdraw(now, cost.urgency) {
 		return false
 	}
 	for _, callee := range cost.callees {
-		b.budget(callee).Withdraw(now, false)
+		b.budget(callee).Withdraw(now, retrybudget.Normal)
 	}
 	return true
 }
--- a/plugins/sidecar/budgets_test.go
+++ b/plugins/sidecar/budgets_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzemast/bronzemast/internal/jsonc"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/retrybudget"
 )
 
 // budgetsOfOneNode returns the budgets of a node that has had the given requests of each service
@@ -34,7 +35,7 @@
 		if b.withdraw(retryCost{service: "orders", callees: []string{"drawings"}}, now) {
 			runs++
 		}
-		if b.withdraw(retryCost{service: "drawings", nested: true}, now) {
+		if b.withdraw(retryCost{service: "drawings", urgency: retrybudget.Urgent}, now) {
 			calls++
 		}
 	}
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -12,6 +12,7 @@
 	"github.com/bronzemast/bronzemast/internal/httpserver"
 	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/model"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/retrybudget"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/uplink"
 )
 
@@ -56,6 +57,8 @@
 	callerTimeout time.Duration
 	// objectiveDeadline is the time by which an answer meets the route's objective.
 	objectiveDeadline time.Time
+	// cameBack is set if the caller has sent the request before.
+	cameBack bool
 	// targetsReached counts the targets that the request has reached, and hops all
 	// attempts.
 	targetsReached int
@@ -215,7 +218,7 @@
 		if e.verdict(c).Action == quarantine.Refuse {
 			return true
 		}
-		if !c.charged.Swap(false) && !e.charge(c) {
+		if !c.charged.Swap(false) && !e.charge(c, a.Outcome) {
 			e.metrics.budgetEmpty.Add(1)
 			return true
 		}
@@ -227,12 +230,18 @@
 }
 
 // charge takes a retry from the budget of the call's service, and from those of the services
-// that its run may call, and reports whether each had one left.
-func (e *entry) charge(c *call) bool {
-	cost := retryCost{service: c.service, nested: e.stats.nested(c.route.Name)}
-	if !cost.nested {
-		cost.callees = e.stats.callees(c.service)
+// that its run may call, and reports whether each had one left. outcome is that of the attempt so
+// far.
+func (e *entry) charge(c *call, outcome model.Outcome) bool {
+	cost := retryCost{service: c.service, urgency: retrybudget.Normal}
+	switch {
+	case e.stats.nested(c.route.Name):
+		cost.urgency = retrybudget.Urgent
+		return e.budgets.withdraw(cost, time.Now())
+	case outcome == model.OutcomeNotRun && !c.cameBack && e.stats.called(c.service):
+		cost.urgency = retrybudget.Deferrable
 	}
+	cost.callees = e.stats.callees(c.service)
 	return e.budgets.withdraw(cost, time.Now())
 }
 
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -207,6 +207,9 @@
 	Leaving bool
 }
 
+// hasRoom reports whether the target had a free slot.
+func (l load) hasRoom() bool { return l.Running < l.Slots && l.Waiting == 0 }
+
 var handoverDecoding = strictcbor.NewDecMode(cbor.DecOptions{MaxNestedLevels: 4})
 
 func decodeHandover(header http.Header) (*handover, error) {
--- a/plugins/sidecar/response.go
+++ b/plugins/sidecar/response.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/model"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/retryafter"
 )
 
 // writeAnswer records and logs the outcome of a call and writes the response to its
@@ -42,24 +43,22 @@
 	return a.Reason
 }
 
-// minRetryAfter is the shortest retry delay sent to callers, so that they don't retry at
-// once.
+// minRetryAfter is the retry delay sent to callers by a draining node.
 const minRetryAfter = 100 * time.Millisecond
 
-// retryJitterShare is the share of a caller's remaining time over which the retries of
-// callers that were rejected together are spread.
-const retryJitterShare = 0.25
-
-// retryAfter returns the retry delay for a rejected caller: the time until capacity is
-// expected, plus jitter that is bounded by the caller's remaining time, so that callers
-// retry neither all at once nor too late.
+// retryAfter returns the retry delay for a rejected caller.
 func (e *entry) retryAfter(c *call, a *answer) time.Duration {
-	wait := max(a.RetryAfter, minRetryAfter)
+	now := time.Now()
+	r := retryafter.Rejection{
+		Wait:               a.RetryAfter,
+		HadRoom:            a.Reason == model.ReasonTargetRefused && a.Load.hasRoom(),
+		ObjectiveRemaining: c.objectiveDeadline.Sub(now) - e.stats.expectedRunTime(c.route),
+		Left:               c.callerTimeout - now.Sub(c.receivedAt),
+	}
 	if a.Reason == model.ReasonNoTarget {
-		wait = max(wait, e.settings.Load().TargetRenewal.Std()/2)
+		r.Wait = max(r.Wait, e.settings.Load().TargetRenewal.Std()/2)
 	}
-	left := max(c.callerTimeout-time.Since(c.receivedAt), 0)
-	return wait + time.Duration(rand.Float64()*retryJitterShare*float64(left))
+	return r.Delay(rand.Float64())
 }
 
 // writeLocalReply writes a local reply as the response to a request and returns its
--- a/plugins/sidecar/retrybudget/budget.go
+++ b/plugins/sidecar/retrybudget/budget.go
@@ -45,22 +45,38 @@
 	b.refill(now)
 }
 
+// Urgency orders the retries for which a budget does not suffice.
+type Urgency uint8
+
+const (
+	// Deferrable is the first retry of a request that has not run, at a service that targets
+	// call: its caller can come back by itself, and the targets that call cannot.
+	Deferrable Urgency = iota
+	// Normal is any other retry of a caller's request.
+	Normal
+	// Urgent is the retry of a call that a target makes, whose failure wastes a whole run.
+	Urgent
+)
+
 // Withdraw takes one retry. It returns false if the budget is exhausted.
-func (b *Budget) Withdraw(now time.Time, urgent bool) bool {
-	if !b.Allows(now, urgent) {
+func (b *Budget) Withdraw(now time.Time, urgency Urgency) bool {
+	if !b.Allows(now, urgency) {
 		return false
 	}
 	b.tokens--
 	return true
 }
 
-// Allows reports whether the budget has a retry left. A part of the budget is kept for urgent
-// requests, so that these are retried first while it does not suffice for all.
-func (b *Budget) Allows(now time.Time, urgent bool) bool {
+// Allows reports whether the budget has a retry left. A part of the budget is kept for retries
+// of higher urgency, so that these are made first while it does not suffice for all.
+func (b *Budget) Allows(now time.Time, urgency Urgency) bool {
 	b.refill(now)
 	required := 1.0
-	if !urgent {
+	switch urgency {
+	case Normal:
 		required += min(maxUrgentReserve, b.capacity(now)*urgentShare)
+	case Deferrable:
+		required += b.capacity(now) * deferShare
 	}
 	return b.tokens >= required
 }
@@ -70,6 +86,8 @@
 	// maxUrgentReserve its bound, in retries.
 	urgentShare      = 0.25
 	maxUrgentReserve = 1
+	// deferShare is the share of the capacity below which deferrable retries are not made.
+	deferShare = 0.5
 )
 
 // refill adds what is gained of the reserve since the last call.
--- a/plugins/sidecar/retrybudget/budget_test.go
+++ b/plugins/sidecar/retrybudget/budget_test.go
@@ -27,14 +27,14 @@
 	b := Budget{Ratio: 0.2, Window: window}
 	now := deposit(&b, 400, start)
 	taken := 0
-	for b.Withdraw(now, true) {
+	for b.Withdraw(now, Urgent) {
 		taken++
 	}
 	g.Expect(taken).To(Equal(20), "a quarter of what the window allows")
-	g.Expect(b.Withdraw(now.Add(time.Second), true)).To(BeFalse())
+	g.Expect(b.Withdraw(now.Add(time.Second), Urgent)).To(BeFalse())
 	now = deposit(&b, 7, now)
-	g.Expect(b.Withdraw(now, true)).To(BeTrue(), "seven requests add one retry")
-	g.Expect(b.Withdraw(now, true)).To(BeFalse())
+	g.Expect(b.Withdraw(now, Urgent)).To(BeTrue(), "seven requests add one retry")
+	g.Expect(b.Withdraw(now, Urgent)).To(BeFalse())
 }
 
 // After 400 good requests, the first attempts of ten of 60 are reset. All but one at most are
@@ -46,7 +46,7 @@
 	retried := 0
 	for i := range 60 {
 		now = deposit(&b, 1, now)
-		if i%6 == 0 && b.Withdraw(now, false) {
+		if i%6 == 0 && b.Withdraw(now, Normal) {
 			retried++
 		}
 	}
@@ -57,18 +57,18 @@
 	g := NewWithT(t)
 	b := Budget{Reserve: 8, Window: window}
 	taken := 0
-	for b.Withdraw(start, true) {
+	for b.Withdraw(start, Urgent) {
 		taken++
 	}
 	g.Expect(taken).To(Equal(2), "a quarter of the reserve")
-	g.Expect(b.Withdraw(start.Add(2*time.Second), true)).To(BeFalse())
-	g.Expect(b.Withdraw(start.Add(3*time.Second), true)).To(BeTrue(), "four in each window")
+	g.Expect(b.Withdraw(start.Add(2*time.Second), Urgent)).To(BeFalse())
+	g.Expect(b.Withdraw(start.Add(3*time.Second), Urgent)).To(BeTrue(), "four in each window")
 	for range 5 {
-		g.Expect(b.Withdraw(start.Add(3*time.Second), true)).To(BeFalse())
+		g.Expect(b.Withdraw(start.Add(3*time.Second), Urgent)).To(BeFalse())
 	}
 	b.Ratio = 0.2
 	now := deposit(&b, 10, start.Add(3*time.Second))
-	g.Expect(b.Withdraw(now, true)).To(BeTrue(), "ten requests add one retry")
+	g.Expect(b.Withdraw(now, Urgent)).To(BeTrue(), "ten requests add one retry")
 }
 
 func TestLastRetryIsForUrgentRequests(t *testing.T) {
@@ -76,11 +76,43 @@
 	b := Budget{Ratio: 0.2, Window: window}
 	now := deposit(&b, 80, start)
 	for range 3 {
-		g.Expect(b.Withdraw(now, false)).To(BeTrue())
+		g.Expect(b.Withdraw(now, Normal)).To(BeTrue())
 	}
-	g.Expect(b.Withdraw(now, false)).To(BeFalse())
-	g.Expect(b.Withdraw(now, true)).To(BeTrue())
-	g.Expect(b.Withdraw(now, true)).To(BeFalse())
+	g.Expect(b.Withdraw(now, Normal)).To(BeFalse())
+	g.Expect(b.Withdraw(now, Urgent)).To(BeTrue())
+	g.Expect(b.Withdraw(now, Urgent)).To(BeFalse())
+}
+
+// urgencyOf returns the urgency of a retry that is urgent or not.
+func urgencyOf(urgent bool) Urgency {
+	if urgent {
+		return Urgent
+	}
+	return Normal
+}
+
+// TestDeferrableRetriesLeaveTheBudgetToUrgentOnes offers more retries of requests whose callers can
+// come back than the budget allows, beside fewer urgent ones than it allows.
+func TestDeferrableRetriesLeaveTheBudgetToUrgentOnes(t *testing.T) {
+	g := NewWithT(t)
+	b := Budget{Ratio: 0.2, Reserve: 20, Window: window}
+	urgent, denied, deferrable := 0, 0, 0
+	for i := range 3000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		b.Deposit(now)
+		if b.Withdraw(now, Deferrable) {
+			deferrable++
+		}
+		if i%8 != 0 {
+			continue
+		}
+		urgent++
+		if !b.Withdraw(now, Urgent) {
+			denied++
+		}
+	}
+	g.Expect(denied).To(BeZero(), "of %d", urgent)
+	g.Expect(deferrable).To(BeNumerically(">", 50), "what is left is used")
 }
 
 // TestUrgentRequestsAreRetriedFirst simulates a service that rejects every second request, of
@@ -94,7 +126,7 @@
 		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
 		b.Deposit(now)
 		urgent := i%6 == 0
-		if rejected := i%2 == 0; rejected && b.Withdraw(now, urgent) {
+		if rejected := i%2 == 0; rejected && b.Withdraw(now, urgencyOf(urgent)) {
 			retried[urgent]++
 		}
 	}
@@ -136,7 +168,7 @@
 	b.Deposit(now)
 	f.requests = append(f.requests, now)
 	for range failures {
-		if !b.Withdraw(now, failures%2 == 0) {
+		if !b.Withdraw(now, urgencyOf(failures%2 == 0)) {
 			return
 		}
 		f.retries = append(f.retries, now)
--- a/plugins/sidecar/sender.go
+++ b/plugins/sidecar/sender.go
@@ -35,7 +35,7 @@
 	markUnreachable func(t *model.Target)
 	// charge takes a retry from the budget of the call's service and reports whether one
 	// was left.
-	charge func(c *call) bool
+	charge func(c *call, outcome model.Outcome) bool
 	dial   func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
@@ -113,7 +113,7 @@
 	watch := &livenessWatch{prober: s.prober, host: host, address: s.peerAddress(host), onLost: func() {
 		s.markUnreachable(t)
 		s.pool(host).DropIdle() // idle connections to an unresponsive peer are as dead as the one in use
-		if c.route.Idempotent && c.body.buffered() && c.targetsReached+1 < c.route.Attempts && s.charge(c) {
+		if c.route.Idempotent && c.body.buffered() && c.targetsReached+1 < c.route.Attempts && s.charge(c, model.OutcomeUnknown) {
 			c.charged.Store(true)
 			cancel(errPeerUnresponsive)
 		}
--- a/plugins/sidecar/targetstats.go
+++ b/plugins/sidecar/targetstats.go
@@ -238,6 +238,18 @@
 	r.nested, r.service = nested, service
 }
 
+// called reports whether a service gets calls made by targets.
+func (s *targetStats) called(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.routes {
+		if r.nested && r.service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // callees returns the services that targets of the given service may call: all others that are
 // known to get calls made by targets.
 func (s *targetStats) callees(service string) []string {
@@ -261,6 +273,13 @@
 	return objective / 3
 }
 
+// expectedRunTime returns the mean run time of a route.
+func (s *targetStats) expectedRunTime(route *ingress.Route) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.meanRunTime(route.Name, route.Objective)
+}
+
 // fullFor bounds the time for which a target that rejected a request is not tried again: by
 // its turnover, or by the interval of the node's share if the target limits its rate. The
 // caller holds mu.
