--- a/model/exchange.go
+++ b/model/exchange.go
@@ -59,6 +59,8 @@
 	Encoded bool
 	// Load is the load that the target reports for itself, nil if it reports none.
 	Load *TargetLoad
+	// InvalidLoad is the text of a load report that cannot be read; empty otherwise.
+	InvalidLoad string
 	// RetryAfter is the minimum delay that a target asks for that did not run the request,
 	// 0 if it asks for none.
 	RetryAfter time.Duration
@@ -93,6 +95,9 @@
 // those in its queue, and the number of requests that it can run concurrently.
 type TargetLoad struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes on the target's machine at this moment, relative to usual;
+	// 0 if the target does not report it.
+	Pace float64
 }
 
 // LocalReply describes a response that the node generates in place of a target.
--- a/plugins/sidecar/announcement.go
+++ b/plugins/sidecar/announcement.go
@@ -236,7 +236,8 @@
 		s.log.Emit(eventAnnounced, l.fields(t.ID, sourcePeer))
 	}
 	r.linkFreeAt = sentAt.Add(state.LinkWait)
-	state.LinkWait = 0 // it is not passed on
+	r.pace.Report(state.Pace, sentAt)
+	state.LinkWait, state.Pace, state.MeanRunTime = 0, 0, 0 // these are not passed on
 	r.state, r.stateAt = state, sentAt
 	r.limitEndsAt = time.Time{}
 	switch {
--- a/plugins/sidecar/events.go
+++ b/plugins/sidecar/events.go
@@ -86,6 +86,14 @@
 		Meaning: "The node takes the host's own target to be cold for cold_ms more, and keeps its requests within the rate that the configuration gives for cold targets. source tells why: its entry, a start, the end of an evacuation, a new connection after it was unreachable, or its answer to a health check, which replaces the other sources.",
 		Action:  "None.",
 	})
+	eventInvalidLoad = event.Define(event.Event{
+		Number:  2211,
+		Level:   logrus.WarnLevel,
+		Message: "load report cannot be read",
+		Fields:  []string{"text"},
+		Meaning: "An answer of the host's own target has a load report that is not a list of at least three numbers. It is ignored. The first one of a process is logged, and all are counted (metric invalid_load_reports).",
+		Action:  "Check whether the platform's protocol has changed.",
+	})
 	eventDrain = event.Define(event.Event{
 		Number:  2205,
 		Level:   logrus.InfoLevel,
--- a/plugins/sidecar/handover.go
+++ b/plugins/sidecar/handover.go
@@ -154,11 +154,16 @@
 	// LinkWait is the time until the large answers are through that the node beside the
 	// target has to send.
 	LinkWait time.Duration `cbor:"6,keyasint,omitempty"`
+	// Pace is how long work takes on the target's machine at the moment, relative to usual, 0
+	// if it does not report that. MeanRunTime is then the target's mean run time of requests
+	// of this route at its usual pace.
+	Pace        float64       `cbor:"7,keyasint,omitempty"`
+	MeanRunTime time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // set adds the state to the header of a request or response.
 func (s targetState) set(header http.Header) {
-	if s.Limited || s.Leaving || s.LinkWait > 0 {
+	if s.Limited || s.Leaving || s.LinkWait > 0 || s.Pace > 0 {
 		header[headerTargetState] = []string{cborheader.Encode(s)}
 	}
 }
--- a/plugins/sidecar/instance.go
+++ b/plugins/sidecar/instance.go
@@ -8,6 +8,7 @@
 	"github.com/bronzemast/bronzemast/internal/httpconn"
 	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/model"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/pace"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/ratelimit"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/slotqueue"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/warmup"
@@ -29,8 +30,10 @@
 	meanRunTimes map[string]time.Duration
 	// meanAnswerBytes holds the mean size of the answers of each route.
 	meanAnswerBytes map[string]float64
-	// slowdown is the current run time of requests relative to their route's mean.
+	// slowdown is the lasting change of run times relative to their route's mean, and pace
+	// that of the moment.
 	slowdown    float64
+	pace        pace.Pace
 	failureRate decayingRate
 	// onReachable, unless it is nil, is called when the target accepts connections again.
 	onReachable func()
--- a/plugins/sidecar/metrics.go
+++ b/plugins/sidecar/metrics.go
@@ -17,6 +17,8 @@
 	budgetEmpty  expvar.Int
 	canceled     expvar.Int
 	healthChecks expvar.Int
+	invalidLoads expvar.Int
+	diverted     expvar.Int
 	// unknownHeaders counts answers of the target by unknown header.
 	unknownHeaders expvar.Map
 	// requestLatency is the time from receiving a request to writing its answer, and
@@ -34,6 +36,8 @@
 	m.Set("retry_budget_empty", &s.budgetEmpty)
 	m.Set("canceled", &s.canceled)
 	m.Set("health_checks", &s.healthChecks)
+	m.Set("invalid_load_reports", &s.invalidLoads)
+	m.Set("diverted", &s.diverted)
 	m.Set("unknown_headers", s.unknownHeaders.Init())
 	m.Set("request_latency", s.requestLatency)
 	m.Set("slot_wait", s.slotWait)
--- a/plugins/sidecar/placement/placement.go
+++ b/plugins/sidecar/placement/placement.go
@@ -76,7 +76,7 @@
 // Cost returns the expected cost of placing the request on the candidate.
 func (c Candidate) Cost() float64 {
 	ratio := float64(c.ExpectedLatency()) / float64(max(c.ObjectiveRemaining, time.Millisecond))
-	cost := missProbability(ratio) + latencyCost*ratio + failureCost*max(c.FailureRate-toleratedFailureRate, 0) + c.RemoteCost
+	cost := MissProbability(ratio) + latencyCost*ratio + failureCost*max(c.FailureRate-toleratedFailureRate, 0) + c.RemoteCost
 	if c.Rejected {
 		cost += rejectedCost
 	}
@@ -89,10 +89,10 @@
 	return cost
 }
 
-// missProbability returns the probability that a request misses its objective if its expected
+// MissProbability returns the probability that a request misses its objective if its expected
 // latency is the given multiple of the remaining time. Latencies are assumed to be half of
 // their mean plus an exponentially distributed part.
-func missProbability(ratio float64) float64 {
+func MissProbability(ratio float64) float64 {
 	const minShare = 0.5
 	if ratio <= 0 {
 		return 0
--- a/plugins/sidecar/placement/placement_test.go
+++ b/plugins/sidecar/placement/placement_test.go
@@ -87,7 +87,7 @@
 	g := NewWithT(t)
 	last := -1.0
 	for ratio := 0.0; ratio < 3; ratio += 0.05 {
-		probability := missProbability(ratio)
+		probability := MissProbability(ratio)
 		g.Expect(probability).To(And(BeNumerically(">=", last), BeNumerically(">=", 0), BeNumerically("<=", 1)))
 		last = probability
 	}
--- a/plugins/sidecar/runtimes.go
+++ b/plugins/sidecar/runtimes.go
@@ -20,42 +20,75 @@
 // of its requests is detected after a few of them.
 const failureWeight = 0.08
 
-// expectedRunTime returns the expected run time of a request of a route: the route's mean
-// times the current slowdown. Without samples it assumes a third of the objective.
-func (i *instance) expectedRunTime(route string, objective time.Duration) time.Duration {
+// runTimes is what the node beside a target expects of a run.
+type runTimes struct {
+	// usual is the expected run time at the usual pace of the target's machine, and now at
+	// that of this moment.
+	usual, now time.Duration
+	// pace is the factor between the two.
+	pace float64
+}
+
+// expectedRunTimes returns the expected run time of a request of a route: the route's mean times
+// the lasting slowdown, and that times the current pace. Without samples it assumes a third of the
+// objective.
+func (i *instance) expectedRunTimes(route string, objective time.Duration) runTimes {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	runTime, ok := i.meanRunTimes[route]
 	if !ok {
 		runTime = objective / 3
 	}
-	return time.Duration(float64(runTime) * i.slowdown)
+	usual := float64(runTime) * i.slowdown
+	factor := i.pace.Factor(time.Now())
+	return runTimes{usual: time.Duration(usual), now: time.Duration(usual * factor), pace: factor}
+}
+
+// expectedRunTime returns the expected run time of a request of a route at this moment.
+func (i *instance) expectedRunTime(route string, objective time.Duration) time.Duration {
+	return i.expectedRunTimes(route, objective).now
+}
+
+// recordPace records the pace that the target has reported as of a time.
+func (i *instance) recordPace(value float64, at time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.pace.Report(value, at)
+}
+
+// currentPace returns the factor of the pace at this moment.
+func (i *instance) currentPace() float64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.pace.Factor(time.Now())
 }
 
-// recordRun records a run that ended with a complete answer.
-func (i *instance) recordRun(route string, runTime time.Duration) {
+// recordRun records a run that ended with a complete answer. pace is the factor at its start.
+func (i *instance) recordRun(route string, runTime time.Duration, pace float64) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	normalized := time.Duration(float64(runTime) / i.slowdown)
+	atUsualPace := float64(runTime) / i.pace.Mean(pace, time.Now())
+	normalized := time.Duration(atUsualPace / i.slowdown)
 	mean, known := i.meanRunTimes[route]
 	if !known {
 		i.meanRunTimes[route] = normalized
 		return
 	}
-	i.recordSlowdown(float64(runTime) / float64(max(mean, time.Millisecond)))
+	i.recordSlowdown(atUsualPace / float64(max(mean, time.Millisecond)))
 	i.meanRunTimes[route] = mean + time.Duration(runTimeWeight*float64(normalized-mean))
 }
 
 // recordUnfinishedRun records a run that was canceled after a time. That time is only a
 // lower bound of the run time, so it counts only if it exceeds the current slowdown.
-func (i *instance) recordUnfinishedRun(route string, runTime time.Duration) {
+func (i *instance) recordUnfinishedRun(route string, runTime time.Duration, pace float64) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	mean, known := i.meanRunTimes[route]
 	if !known {
 		return
 	}
-	if sample := float64(runTime) / float64(max(mean, time.Millisecond)); sample > i.slowdown {
+	atUsualPace := float64(runTime) / i.pace.Mean(pace, time.Now())
+	if sample := atUsualPace / float64(max(mean, time.Millisecond)); sample > i.slowdown {
 		i.recordSlowdown(sample)
 	}
 }
--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -45,6 +45,7 @@
 // exchangeWithTarget sends a request to the target and reads the answer.
 func (s *targetSide) exchangeWithTarget(ctx context.Context, inst *instance, h *handover, header http.Header, body *messageBody) *answer {
 	start := time.Now()
+	paceAtStart := inst.currentPace()
 	inst.recordSent(start)
 	response, err := inst.pool.RoundTrip(ctx, &httpconn.Request{
 		Method: h.Method,
@@ -58,11 +59,11 @@
 	})
 	if err != nil {
 		if ctx.Err() != nil {
-			inst.recordUnfinishedRun(h.Route, time.Since(start))
+			inst.recordUnfinishedRun(h.Route, time.Since(start), paceAtStart)
 		}
 		return s.connectionLost(ctx, inst, h, err)
 	}
-	return s.readAnswer(ctx, inst, h, response, start)
+	return s.readAnswer(ctx, inst, h, response, callStart{at: start, pace: paceAtStart})
 }
 
 // connectionLost returns the answer of a request whose connection failed before the answer was
@@ -110,16 +111,23 @@
 	return a
 }
 
+// callStart is the start of a call to the target, and the pace of its machine then.
+type callStart struct {
+	at   time.Time
+	pace float64
+}
+
 // readAnswer reads the target's response and determines the outcome. A successful response
 // that is not signed by the target, or any that is content-encoded, counts as lost.
-func (s *targetSide) readAnswer(ctx context.Context, inst *instance, h *handover, response *http.Response, start time.Time) *answer {
+func (s *targetSide) readAnswer(ctx context.Context, inst *instance, h *handover, response *http.Response, start callStart) *answer {
 	inst.recordAnswer()
 	inst.crashes.Reached()
 	head := s.exchange.ParseResponse(response.StatusCode, response.Header)
 	s.updateIdleTimeout(inst, response.Header)
 	if !head.WrongTarget {
-		s.observeAnnouncement(inst, h.Instance, head, start)
+		s.observeAnnouncement(inst, h.Instance, head, start.at)
 	}
+	s.observeLoad(inst, head)
 	s.unknownHeaders.Record(head.UnknownHeaders)
 	body, err := readBody(response.Body, answerLength(response, h.Method), 0)
 	if err != nil {
@@ -128,7 +136,7 @@
 	}
 	a := &answer{status: response.StatusCode, header: response.Header, body: body}
 	a.ReachedTarget = true
-	a.RunTime = time.Since(start)
+	a.RunTime = time.Since(start.at)
 	if body.buffered() {
 		_ = response.Body.Close() // the body has been read completely
 	}
@@ -149,7 +157,7 @@
 	a.Outcome = model.OutcomeRan
 	a.Failed = a.status >= http.StatusInternalServerError
 	if !a.Failed {
-		inst.recordRun(h.Route, a.RunTime)
+		inst.recordRun(h.Route, a.RunTime, start.pace)
 		inst.recordAnswerBytes(h.Route, body.length)
 		if inst.mayBeCold() {
 			s.checkHealth(inst, h.Instance, slowdownInterval)
--- a/plugins/sidecar/targetreport.go
+++ b/plugins/sidecar/targetreport.go
@@ -50,7 +50,7 @@
 	}
 	s.route(route).nested, s.route(route).service = a.Nested, c.service
 	if a.Outcome == model.OutcomeRan && !a.Failed {
-		s.updateRunTime(r, route, a.RunTime)
+		s.updateRunTime(r, route, a)
 		s.route(route).recordAnswerBytes(a.body.size())
 	}
 	r.estimatedAt = now
@@ -84,15 +84,21 @@
 	r.roundTrip += time.Duration(roundTripWeight * float64(sample-r.roundTrip))
 }
 
-// updateRunTime updates the target's relative run time and the route's mean by a run. The
-// slowdown that the peer reports is divided out.
-func (s *targetStats) updateRunTime(r *targetRecord, route string, runTime time.Duration) {
-	normalized := float64(runTime) / max(r.load.Slowdown, minRunTimeFactor)
+// updateRunTime updates the target's relative run time and the route's mean by a run. If the node
+// beside the target reports its own mean, that counts instead of the single run; otherwise the
+// slowdown that it reports is divided out.
+func (s *targetStats) updateRunTime(r *targetRecord, route string, a *answer) {
+	normalized := float64(a.RunTime) / max(r.load.Slowdown, minRunTimeFactor)
+	weight := relativeRunTimeWeight
+	if a.announced.MeanRunTime > 0 {
+		normalized = float64(a.announced.MeanRunTime)
+		weight = reportedRunTimeWeight
+	}
 	rr := s.route(route)
 	if rr.meanRunTime == 0 {
 		rr.meanRunTime = time.Duration(normalized)
 	}
-	r.relativeRunTime += relativeRunTimeWeight * (normalized/float64(max(rr.meanRunTime, time.Millisecond)) - r.relativeRunTime)
+	r.relativeRunTime += weight * (normalized/float64(max(rr.meanRunTime, time.Millisecond)) - r.relativeRunTime)
 	rr.meanRunTime += time.Duration(runTimeWeight * (normalized/max(r.relativeRunTime, minRunTimeFactor) - float64(rr.meanRunTime)))
 }
 
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -41,6 +41,8 @@
 	quarantine     model.Quarantine
 	// uplink is the host's link, which large answers share.
 	uplink *uplink.Scheduler
+	// invalidLoad logs the first load report that cannot be read.
+	invalidLoad sync.Once
 	// onNested is called with whether the requests of a route appear to be calls made by
 	// targets.
 	onNested func(route, service string, nested bool)
@@ -112,6 +114,7 @@
 	a.Load.Leaving = s.drain.closed()
 	a.announced = inst.state()
 	a.announced.LinkWait = s.uplink.Backlog()
+	inst.reportPace(&a.announced, h.Route)
 	if a.release == nil {
 		cancel()
 		return a
@@ -132,7 +135,12 @@
 	if wait := inst.unreachableFor(); wait > 0 {
 		return unreachableAnswer(wait)
 	}
-	adm.expected = inst.expectedRunTime(h.Route, h.Objective)
+	expected := inst.expectedRunTimes(h.Route, h.Objective)
+	adm.expected = expected.now
+	if s.diverts(h, adm, expected) {
+		s.metrics.diverted.Add(1)
+		return slowNowAnswer()
+	}
 	guard := s.newGuard(inst, h, body)
 	if retryAfter, ok := guard.Enter(ctx, adm.expected, h.Remaining-adm.expected); !ok {
 		return s.quarantined(h, body, retryAfter)
--- a/plugins/sidecar/targetstats.go
+++ b/plugins/sidecar/targetstats.go
@@ -10,6 +10,7 @@
 	"github.com/bronzemast/bronzemast/config/ingress"
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/model"
+	"github.com/bronzemast/bronzemast/plugins/sidecar/pace"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/placement"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/ratelimit"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/uplink"
@@ -104,6 +105,8 @@
 	// large answers, and linkFreeAt that at which the answers that it holds are through.
 	linkFullUntil time.Time
 	linkFreeAt    time.Time
+	// pace is how fast the target's machine works at the moment.
+	pace pace.Pace
 }
 
 // routeRecord holds the estimates of one route.
@@ -122,8 +125,10 @@
 }
 
 const (
-	// relativeRunTimeWeight is the weight of a new run in a target's relative run time.
+	// relativeRunTimeWeight is the weight of a new run in a target's relative run time, and
+	// reportedRunTimeWeight that of a mean over many runs that is reported.
 	relativeRunTimeWeight = 0.1
+	reportedRunTimeWeight = 0.5
 	// The half-lives are those with which the estimates of a target decay, so that a
 	// recovered target gets requests again.
 	loadHalfLife     = time.Second
@@ -336,6 +341,7 @@
 	}
 	estimateWeight := decay(now.Sub(r.estimatedAt), estimateHalfLife)
 	factor := (1 + (r.relativeRunTime-1)*estimateWeight) * slowdown
+	factor *= r.pace.Factor(now)
 	if now.Before(r.coldUntil) {
 		factor = max(factor, coldRunTimeFactor)
 	}
