--- a/plugins/replica/apply.go
+++ b/plugins/replica/apply.go
@@ -197,7 +197,7 @@
 	for _, domain := range ended {
 		r.logEvacuation(domain, r.copy.position, viaStore)
 	}
-	next = soonest(next, nextEnd)
+	next = earliest(next, nextEnd)
 	list := r.targets.list(r.copy.position, r.evacuations.apply)
 	r.list.Store(list)
 	r.links.retain(r.self, list.Hosts)
@@ -209,14 +209,6 @@
 	}
 }
 
-// soonest returns the earlier of two times, where zero means never.
-func soonest(a, b time.Time) time.Time {
-	if b.IsZero() {
-		return a
-	}
-	return earliest(a, b)
-}
-
 func (r *Replica) expireTargets() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/plugins/replica/targets.go
+++ b/plugins/replica/targets.go
@@ -110,9 +110,9 @@
 	return changed, next
 }
 
-// earliest returns the earlier of two times, where zero means unset.
+// earliest returns the earlier of two times, where zero means never.
 func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || b.Before(a) {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
 		return b
 	}
 	return a
