--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -59,6 +59,8 @@
 		r.actOnConfiguration(ctx, e)
 	case kindFatalRequest:
 		r.sendFatal(ctx, e)
+	case kindEvacuate:
+		r.evacuate(ctx, e)
 	}
 }
 
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -54,7 +54,10 @@
 	limits   []workerLimit
 	crashes  []crashRecord
 	configs  []publication
-	events   map[eventKind]int
+	// evacuations holds the evacuated failure domains, and cold the workers that were cold.
+	evacuations []evacuation
+	cold        []coldWorker
+	events      map[eventKind]int
 	// problems are the faults found that no promise covers.
 	problems []string
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -143,6 +143,8 @@
 	rec.checkLeavings(c)
 	rec.checkWorkers()
 	rec.checkFatal()
+	rec.checkEvacuations(r.domains)
+	rec.checkCold()
 	result := &Result{
 		Seed:            r.options.Seed,
 		Hosts:           len(r.hosts),
--- a/internal/soak/runner.go
+++ b/internal/soak/runner.go
@@ -23,10 +23,12 @@
 type runner struct {
 	// restoreMu is held while the store has not got back what a restore has lost.
 	restoreMu sync.Mutex
-	options   *Options
-	fleet     *sidecarfleet.Fleet
-	hosts     []*host
-	recorder  *recorder
+	// evacuationMu is held while a failure domain is evacuated.
+	evacuationMu sync.Mutex
+	options      *Options
+	fleet        *sidecarfleet.Fleet
+	hosts        []*host
+	recorder     *recorder
 
 	// mu guards the fields below and the calls that change the fleet.
 	mu          sync.Mutex
@@ -34,6 +36,8 @@
 	lastFaultID int
 	// version is the number of the configuration that was published last.
 	version int
+	// domains holds the failure domain of each worker.
+	domains map[string]string
 	// flipped is set while the route pathFlip leads to serviceBeta.
 	flipped bool
 }
@@ -67,11 +71,11 @@
 	for i := range services {
 		services[i] = []string{serviceAlpha, serviceBeta}[i%2]
 	}
-	fleet, err := sidecarfleet.New(sidecarfleet.Options{Binary: o.Binary, Dir: o.Dir, Services: services, Relays: true})
+	fleet, err := sidecarfleet.New(sidecarfleet.Options{Binary: o.Binary, Dir: o.Dir, Services: services, Relays: true, Warmup: coldTime, ColdRate: coldRate})
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{options: o, fleet: fleet, recorder: newRecorder(), linkFaults: map[int]linkFault{}}
+	r := &runner{options: o, fleet: fleet, recorder: newRecorder(), linkFaults: map[int]linkFault{}, domains: map[string]string{}}
 	for _, h := range fleet.Hosts {
 		r.hosts = append(r.hosts, &host{Host: h})
 	}
@@ -130,6 +134,7 @@
 	if err := h.StartWorker(r.observeRun); err != nil {
 		return err
 	}
+	r.domains[h.Worker.ID] = h.Domain
 	r.recorder.addWorker(h.Worker)
 	return nil
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -60,14 +60,18 @@
 	kindWorkerLimit
 	// kindFatalRequest sends a request that crashes the workers that run it.
 	kindFatalRequest
+	// kindEvacuate evacuates a failure domain, whose workers are cold at the end.
+	kindEvacuate
 )
 
 // laterKinds are groups of faults. Each is scheduled by a random sequence of its own, so that
 // the other events of a seed stay as they were.
-var laterKinds = [][]eventKind{{kindStoreRestore, kindWorkerLimit}, {kindFatalRequest}}
+var laterKinds = [][]eventKind{{kindStoreRestore, kindWorkerLimit}, {kindFatalRequest}, {kindEvacuate}}
 
 // isFault reports whether events of the kind are faults and not planned work.
-func (k eventKind) isFault() bool { return k < plannedBoundary || k > kindCount }
+func (k eventKind) isFault() bool {
+	return k != kindEvacuate && (k < plannedBoundary || k > kindCount)
+}
 
 var kindNames = map[eventKind]string{
 	kindKill: "kill", kindHerdKill: "herd-kill", kindPause: "pause", kindCut: "cut", kindSilence: "silence",
@@ -75,7 +79,7 @@
 	kindStoreCompact: "store-compact", kindStoreCut: "store-cut", kindWorkerCrash: "worker-crash", kindWorkerFails: "worker-fails",
 	kindStop: "stop", kindHangup: "hangup", kindConfigure: "configure", kindStorm: "storm", kindMistake: "mistake",
 	kindReplace: "replace", kindStoreRestore: "store-restore", kindWorkerLimit: "worker-limit",
-	kindFatalRequest: "fatal-request",
+	kindFatalRequest: "fatal-request", kindEvacuate: "evacuate",
 }
 
 // String returns the name of the kind.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -48,3 +48,8 @@
 func TestPromisesHoldUnderFaults(t *testing.T) {
 	run(t, soak.Options{Seed: 2, Hosts: 6, Duration: 8 * time.Second})
 }
+
+// Evacuations beside faults: the domain is empty in time, and its workers come back cold.
+func TestPromisesHoldUnderEvacuations(t *testing.T) {
+	run(t, soak.Options{Seed: 5003, Hosts: 9, Duration: 12 * time.Second})
+}
