--- a/plugins/sidecar/instancewarmup.go
+++ b/plugins/sidecar/instancewarmup.go
@@ -42,12 +42,12 @@
 // observeEntry notes what the target's entry says of its warm-up. A node that sees a target for
 // the first time cannot tell from the entry how long ago it was written, so it asks the target.
 // It returns why the target may be cold, empty if nothing is new.
-func (i *instance) observeEntry(t *model.Target, service *ingress.Service, now time.Time) (source string) {
+func (i *instance) observeEntry(t *model.Target, service *serviceWarmup, now time.Time) (source string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.warmup.Configure(service.Warmup)
-	i.health.path = service.HealthPath
-	if !service.Warmup.Limited() {
+	i.warmup.Configure(service.warmup)
+	i.health.path = service.healthPath
+	if !service.warmup.Limited() {
 		return ""
 	}
 	isNew := i.entryPosition.IsZero()
@@ -76,14 +76,14 @@
 
 // observeUnlisted configures the warm-up of a target that is not listed. It reports whether the
 // target is new to the node, and is then taken to be cold.
-func (i *instance) observeUnlisted(service *ingress.Service, now time.Time) (isNew bool) {
+func (i *instance) observeUnlisted(service *serviceWarmup, now time.Time) (isNew bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if !service.Warmup.Limited() || i.warmup.Limited() {
+	if !service.warmup.Limited() || i.warmup.Limited() {
 		return false
 	}
-	i.warmup.Configure(service.Warmup)
-	i.health.path = service.HealthPath
+	i.warmup.Configure(service.warmup)
+	i.health.path = service.healthPath
 	i.warmup.Assume(now)
 	i.applyLimit(now)
 	return true
@@ -163,7 +163,7 @@
 // observeEntry notes what the list says of a target, and asks the target if it may be cold.
 func (s *targetSide) observeEntry(inst *instance, t *model.Target) {
 	source := ""
-	if service := s.service(t.Service); service != nil {
+	if service := s.serviceWarmup(t.Service); service != nil {
 		source = inst.observeEntry(t, service, time.Now())
 	}
 	inst.startedAs(t.StartedAt)
@@ -173,7 +173,7 @@
 // observeUnlisted notes that a request is for a target that this node's list does not have yet,
 // so that it may have started lately.
 func (s *targetSide) observeUnlisted(inst *instance, h *handover) {
-	if service := s.service(h.Service); service != nil && inst.observeUnlisted(service, time.Now()) {
+	if service := s.serviceWarmup(h.Service); service != nil && inst.observeUnlisted(service, time.Now()) {
 		s.coldFrom(inst, h.Instance, warmupFromStart)
 	}
 }
@@ -185,13 +185,24 @@
 	}
 }
 
-// service returns a service of the configuration in force, nil if it has none of that name.
-func (s *targetSide) service(name string) *ingress.Service {
+// serviceWarmup is what the configuration says of the cold targets of a service.
+type serviceWarmup struct {
+	warmup     ingress.Warmup
+	healthPath string
+}
+
+// serviceWarmup returns what the configuration in force says of the cold targets of a service, nil
+// if it has no such service.
+func (s *targetSide) serviceWarmup(name string) *serviceWarmup {
 	table := s.replica.Table()
 	if table == nil {
 		return nil
 	}
-	return table.Service(name)
+	service := table.Service(name)
+	if service == nil {
+		return nil
+	}
+	return &serviceWarmup{warmup: s.settings.Load().warmup(service.Warmup), healthPath: service.HealthPath}
 }
 
 // coldFrom logs that a target may be cold, unless source is empty, and asks the target.
--- a/plugins/sidecar/setup.go
+++ b/plugins/sidecar/setup.go
@@ -48,6 +48,8 @@
 	// defaultLinger covers two readiness checks at an interval of 1 s, with some margin.
 	defaultLinger = 2700 * time.Millisecond
 	defaultGrace  = 25 * time.Second
+	// defaultWarmupOverage keeps to the rate for cold targets.
+	defaultWarmupOverage = 1
 	// defaultLogLines keeps request logging below a tenth of a node's CPU time at 60
 	// requests per second (BenchmarkLogs).
 	defaultLogLines = 30
@@ -76,6 +78,9 @@
 	Linger jsonc.Duration `json:"linger"`
 	// Grace bounds the total time of draining, linger time included.
 	Grace jsonc.Duration `json:"grace"`
+	// WarmupOverage is the multiple of the rate for cold targets that they are sent: the
+	// platform's bound on a cold target, without what it allows besides.
+	WarmupOverage float64 `json:"warmup_overage"`
 	// LinkMbps is the rate of the host's link in Mbit/s, 0 if it is not known. Large answers
 	// share it. A change takes effect when the node restarts.
 	LinkMbps float64 `json:"link_mbps"`
@@ -118,6 +123,7 @@
 		Linger:         jsonc.Duration(defaultLinger),
 		Grace:          jsonc.Duration(defaultGrace),
 		LogLines:       defaultLogLines,
+		WarmupOverage:  defaultWarmupOverage,
 	}
 }
 
@@ -196,7 +202,9 @@
 	s.targetSide.onNested = s.entry.stats.recordNested
 	s.entry.stats.departures = s.targetSide.departures
 	s.entry.stats.fleetSize = hosts
-	s.entry.stats.warmup = func(service string) ingress.Warmup { return warmupOf(replica.Table(), service) }
+	s.entry.stats.warmup = func(service string) ingress.Warmup {
+		return s.live.Load().warmup(warmupOf(replica.Table(), service))
+	}
 	ctx.Metrics().Set("target_limits", expvar.Func(func() any { return s.targetSide.limits() }))
 	s.entry.sender = s.newSender(peer, transport, replica)
 	s.entry.sender.quarantine = quarantine
@@ -230,6 +238,12 @@
 	return sender
 }
 
+// warmup returns the warm-up with the rate that cold targets are sent.
+func (s *Settings) warmup(w ingress.Warmup) ingress.Warmup {
+	w.Rate *= s.WarmupOverage
+	return w
+}
+
 // warmupOf returns the warm-up of a service's targets, none if the table has no such service.
 func warmupOf(table *ingress.Table, name string) ingress.Warmup {
 	if table == nil {
@@ -299,6 +313,7 @@
 		jsonc.Positive{Field: "linger", Value: float64(s.Linger)},
 		jsonc.Positive{Field: "grace", Value: float64(s.Grace)},
 		jsonc.Positive{Field: "log_lines", Value: s.LogLines},
+		jsonc.Positive{Field: "warmup_overage", Value: s.WarmupOverage},
 	)
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		findings.Errorf(doc.Place("retry_ratio"), "must be from 0 to 1")
--- a/plugins/sidecar/warmup/gate_test.go
+++ b/plugins/sidecar/warmup/gate_test.go
@@ -15,6 +15,8 @@
 	start = time.Unix(1_000_000, 0)
 	// portal is the warm-up of a service in a deployment.
 	portal = ingress.Warmup{Duration: 3 * time.Second, Rate: 11}
+	// sustained is the same warm-up with the rate that the deployment's bound allows for long.
+	sustained = ingress.Warmup{Duration: 3 * time.Second, Rate: 11 * boundFactor}
 )
 
 // The bound of that deployment on the requests that a cold target gets in any second, from all
@@ -24,9 +26,11 @@
 	boundSlack  = 8
 )
 
-func newGate() *Gate {
+func newGate() *Gate { return newGateFor(portal) }
+
+func newGateFor(w ingress.Warmup) *Gate {
 	g := &Gate{}
-	g.Configure(portal)
+	g.Configure(w)
 	return g
 }
 
@@ -101,7 +105,7 @@
 func TestNoSecondOfAWarmupExceedsTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var sent []time.Time
-		gate, bucket := newGate(), &ratelimit.Bucket{}
+		gate, bucket := newGateFor(sustained), &ratelimit.Bucket{}
 		coldUntil := start.Add(portal.Duration)
 		gate.Assume(start)
 		restartAt := start.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "restart ms")) * time.Millisecond)
@@ -110,7 +114,7 @@
 		for now := start; now.Before(coldUntil); {
 			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "gap ms")) * time.Millisecond)
 			if !restarted && now.After(restartAt) {
-				gate, bucket, restarted = newGate(), &ratelimit.Bucket{}, true
+				gate, bucket, restarted = newGateFor(sustained), &ratelimit.Bucket{}, true
 				gate.Assume(now)
 			}
 			if restarted && !checked && now.After(restartAt.Add(checkedAfter)) {
