--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -287,6 +287,10 @@
 			targetSide.Target, targetSide.Limit, targetSide.StartWithinMs, end.RetryAfterMs)
 	case end.Reason == "target-limited":
 		return fmt.Sprintf("The request was refused by a limit: the targets accept only a limited rate at present, which was used up; the caller was asked to retry after %d ms.", end.RetryAfterMs)
+	case end.Reason == "link-full":
+		return fmt.Sprintf("The request was refused since its answer could not have been sent in time: the links of the targets' hosts were full of large answers; the caller was asked to retry after %d ms.", end.RetryAfterMs)
+	case end.Reason == "evacuated":
+		return fmt.Sprintf("The request was refused since all targets of service %s are in failure domains that an operator evacuates (event 2110); the caller was asked to retry after %d ms.", end.Service, end.RetryAfterMs)
 	case end.Reason == "target-lost":
 		return "The target ended, or aborted its response, while it processed the request; whether the request ran is unknown."
 	case end.Reason == "target-crashed":
--- a/internal/requestlog/requestlog_test.go
+++ b/internal/requestlog/requestlog_test.go
@@ -74,6 +74,8 @@
 		`"outcome":"not-run","reason":"no-configuration"`: "no-configuration",
 		`"outcome":"not-run","reason":"overloaded"`:       "all targets had recently been full",
 		`"outcome":"not-run","reason":"target-limited"`:   "only a limited rate at present",
+		`"outcome":"not-run","reason":"link-full"`:        "links of the targets' hosts were full",
+		`"outcome":"not-run","reason":"evacuated"`:        "an operator evacuates",
 		`"outcome":"unknown","reason":"target-crashed"`:   "The target ended while it processed the request",
 		`"outcome":"not-run","reason":"quarantined"`:      "some have crashed while they ran it",
 	} {
--- a/plugins/burn/slo/counts.go
+++ b/plugins/burn/slo/counts.go
@@ -97,7 +97,7 @@
 func Classify(r model.CallRecord, latency time.Duration) Class {
 	switch r.Reason {
 	case model.ReasonNone:
-	case model.ReasonOverShare, model.ReasonOverloaded, model.ReasonTargetRefused, model.ReasonTargetLimited, model.ReasonDeadline:
+	case model.ReasonOverShare, model.ReasonOverloaded, model.ReasonTargetRefused, model.ReasonTargetLimited, model.ReasonLinkFull, model.ReasonDeadline:
 		return ClassShed
 	case model.ReasonRateLimited:
 		return ClassRateLimited
