--- a/cmd/bronzemast-node/main.go
+++ b/cmd/bronzemast-node/main.go
@@ -30,6 +30,7 @@
 }
 
 func main() {
+	hangups := reload.Subscribe()
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
 		if flags.WroteHelp(err) {
@@ -37,13 +38,14 @@
 		}
 		os.Exit(2)
 	}
-	if err := run(opts); err != nil {
+	if err := run(opts, hangups); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(opts options) error {
+// run runs a node until a signal ends it. hangups receives the signals to reload its settings.
+func run(opts options, hangups <-chan os.Signal) error {
 	settings, err := opts.load()
 	if err != nil {
 		return err
@@ -63,7 +65,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	go (&reload.Reloader{File: opts.Settings, Load: opts.load, Apply: node.Reload, Log: log}).Run(ctx)
+	go (&reload.Reloader{File: opts.Settings, Load: opts.load, Apply: node.Reload, Log: log, Hangups: hangups}).Run(ctx)
 	return node.Run(ctx)
 }
 
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -46,15 +46,27 @@
 	// Apply applies settings, either all of them or none.
 	Apply func(*kernel.Settings) error
 	Log   *event.Log
+	// Hangups receives the signals to reload. If it is nil, Run subscribes to them.
+	Hangups <-chan os.Signal
 
 	// modTime is the modification time of the file as of the last check.
 	modTime time.Time
 }
 
-// Run reloads the settings as necessary until ctx ends.
-func (r *Reloader) Run(ctx context.Context) {
+// Subscribe subscribes to the signals to reload. A program calls it before it reads its settings:
+// a signal that comes earlier ends the process.
+func Subscribe() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+// Run reloads the settings as necessary until ctx ends.
+func (r *Reloader) Run(ctx context.Context) {
+	hangups := r.Hangups
+	if hangups == nil {
+		hangups = Subscribe()
+	}
 	// A SIGHUP during shutdown must not terminate the process.
 	defer signal.Ignore(syscall.SIGHUP)
 	r.changed()
