--- a/plugins/sidecar/announcement.go
+++ b/plugins/sidecar/announcement.go
@@ -84,7 +84,7 @@
 		i.limit.End(sentAt)
 	}
 	i.leaving = i.leaving || head.Leaving
-	i.applyLimit(now)
+	i.limitHeard(now)
 	logged = loggedAnnouncement{invalid: head.Limit.Invalid, leaving: i.leaving, at: now}
 	logged.rate, logged.limited = i.limit.Limit()
 	changed = i.logged.due(logged)
@@ -107,16 +107,21 @@
 		i.applyLimit(now)
 	case known.LimitedFor == 0 && known.StartedAt == i.startedMillis() && !i.limit.Answered():
 		i.limit.Learn(known.Rate)
-		i.applyLimit(now)
+		i.limitHeard(now)
 	}
 }
 
-// applyLimit applies the limits on the target's rate to the queue. The caller holds mu.
-func (i *instance) applyLimit(now time.Time) {
+// limitHeard records that the target's limit, or its absence, was heard of. The caller holds mu.
+func (i *instance) limitHeard(now time.Time) {
 	i.heardAt = time.Time{}
 	if _, named := i.limit.Limit(); named {
 		i.heardAt = now
 	}
+	i.applyLimit(now)
+}
+
+// applyLimit applies the limits on the target's rate to the queue. The caller holds mu.
+func (i *instance) applyLimit(now time.Time) {
 	rate, limited := i.rateLimit(now)
 	switch {
 	case limited:
@@ -166,7 +171,7 @@
 	i.startedAt = startedAt
 	if restarted {
 		i.limit, i.leaving = ratelimit.Announced{}, false
-		i.applyLimit(time.Now())
+		i.limitHeard(time.Now())
 	}
 }
 
