--- a/plugins/sidecar/runtimes.go
+++ b/plugins/sidecar/runtimes.go
@@ -44,11 +44,6 @@
 	return runTimes{usual: time.Duration(usual), now: time.Duration(usual * factor), pace: factor}
 }
 
-// expectedRunTime returns the expected run time of a request of a route at this moment.
-func (i *instance) expectedRunTime(route string, objective time.Duration) time.Duration {
-	return i.expectedRunTimes(route, objective).now
-}
-
 // recordPace records the pace that the target has reported as of a time.
 func (i *instance) recordPace(value float64, at time.Time) {
 	i.mu.Lock()
