--- a/plugins/sidecar/instancewarmup.go
+++ b/plugins/sidecar/instancewarmup.go
@@ -42,7 +42,7 @@
 // observeEntry notes what the target's entry says of its warm-up. A node that sees a target for
 // the first time cannot tell from the entry how long ago it was written, so it asks the target.
 // It returns why the target may be cold, empty if nothing is new.
-func (i *instance) observeEntry(t *model.Target, service *serviceWarmup, now time.Time) (source string) {
+func (i *instance) observeEntry(t *model.Target, service serviceWarmup, now time.Time) (source string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.warmup.Configure(service.warmup)
@@ -76,7 +76,7 @@
 
 // observeUnlisted configures the warm-up of a target that is not listed. It reports whether the
 // target is new to the node, and is then taken to be cold.
-func (i *instance) observeUnlisted(service *serviceWarmup, now time.Time) (isNew bool) {
+func (i *instance) observeUnlisted(service serviceWarmup, now time.Time) (isNew bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !service.warmup.Limited() || i.warmup.Limited() {
@@ -163,25 +163,25 @@
 // observeEntry notes what the list says of a target, and asks the target if it may be cold.
 func (s *targetSide) observeEntry(inst *instance, t *model.Target) {
 	source := ""
-	if service := s.serviceWarmup(t.Service); service != nil {
+	if service, ok := s.serviceWarmup(t.Service); ok {
 		source = inst.observeEntry(t, service, time.Now())
 	}
 	inst.startedAs(t.StartedAt)
-	s.coldFrom(inst, t.ID, source)
+	s.noteCold(inst, t.ID, source)
 }
 
 // observeUnlisted notes that a request is for a target that this node's list does not have yet,
 // so that it may have started lately.
 func (s *targetSide) observeUnlisted(inst *instance, h *handover) {
-	if service := s.serviceWarmup(h.Service); service != nil && inst.observeUnlisted(service, time.Now()) {
-		s.coldFrom(inst, h.Instance, warmupFromStart)
+	if service, ok := s.serviceWarmup(h.Service); ok && inst.observeUnlisted(service, time.Now()) {
+		s.noteCold(inst, h.Instance, warmupFromStart)
 	}
 }
 
 // reachableAgain notes that a target accepts connections again: it may have started again.
 func (s *targetSide) reachableAgain(inst *instance, id model.TargetID) {
 	if inst.assumeCold(time.Now()) {
-		s.coldFrom(inst, id, warmupFromConnection)
+		s.noteCold(inst, id, warmupFromConnection)
 	}
 }
 
@@ -191,22 +191,22 @@
 	healthPath string
 }
 
-// serviceWarmup returns what the configuration in force says of the cold targets of a service, nil
-// if it has no such service.
-func (s *targetSide) serviceWarmup(name string) *serviceWarmup {
+// serviceWarmup returns what the configuration in force says of the cold targets of a service; ok
+// is false if it has no such service.
+func (s *targetSide) serviceWarmup(name string) (found serviceWarmup, ok bool) {
 	table := s.replica.Table()
 	if table == nil {
-		return nil
+		return found, false
 	}
 	service := table.Service(name)
 	if service == nil {
-		return nil
+		return found, false
 	}
-	return &serviceWarmup{warmup: s.settings.Load().warmup(service.Warmup), healthPath: service.HealthPath}
+	return serviceWarmup{warmup: s.settings.Load().warmup(service.Warmup), healthPath: service.HealthPath}, true
 }
 
-// coldFrom logs that a target may be cold, unless source is empty, and asks the target.
-func (s *targetSide) coldFrom(inst *instance, id model.TargetID, source string) {
+// noteCold logs that a target may be cold, unless source is empty, and asks the target.
+func (s *targetSide) noteCold(inst *instance, id model.TargetID, source string) {
 	if source == "" {
 		return
 	}
--- a/plugins/sidecar/instancewarmup_test.go
+++ b/plugins/sidecar/instancewarmup_test.go
@@ -14,7 +14,7 @@
 	"github.com/bronzemast/bronzemast/plugins/sidecar/slotqueue"
 )
 
-var portalWarmup = &serviceWarmup{warmup: ingress.Warmup{Duration: 3 * time.Second, Rate: 11}, healthPath: "/health"}
+var portalWarmup = serviceWarmup{warmup: ingress.Warmup{Duration: 3 * time.Second, Rate: 11}, healthPath: "/health"}
 
 // listedTarget returns an entry as of a revision.
 func listedTarget(revision uint64, startedAt time.Time) *model.Target {
@@ -77,7 +77,7 @@
 	now := time.Now()
 	target := listedTarget(1, now)
 	target.SlowStartRemaining = time.Second
-	g.Expect(inst.observeEntry(target, &serviceWarmup{healthPath: "/health"}, now)).To(BeEmpty())
+	g.Expect(inst.observeEntry(target, serviceWarmup{healthPath: "/health"}, now)).To(BeEmpty())
 	g.Expect(inst.assumeCold(now)).To(BeFalse())
 	_, due := inst.beginHealthCheck(0, now)
 	g.Expect(due).To(BeFalse())
