--- a/plugins/sidecar/uplink/scheduler_test.go
+++ b/plugins/sidecar/uplink/scheduler_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,11 +26,15 @@
 // slowLink is a link that sends what is written to it in order, at its rate.
 type slowLink struct {
 	bytesPerSecond float64
-	freeAt         time.Time
+
+	mu     sync.Mutex
+	freeAt time.Time
 }
 
 // send returns when bytes that are written now are through.
 func (l *slowLink) send(n int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if now := time.Now(); l.freeAt.Before(now) {
 		l.freeAt = now
 	}
@@ -49,15 +55,16 @@
 
 // linkResult is what callers get in a simulation.
 type linkResult struct {
-	offered, onTime, rejected int
+	offered, rejected int
+	onTime            atomic.Int64
 	// slowestSmall is the longest time that a small answer took on the link.
 	slowestSmall time.Duration
 }
 
 // simulateLink offers large answers at a multiple of the link's rate for ten seconds, beside a
 // small answer each 20 ms. Without a scheduler, all are written as soon as they are ready.
-func simulateLink(t *testing.T, load float64, scheduled bool) linkResult {
-	var result linkResult
+func simulateLink(t *testing.T, load float64, scheduled bool) *linkResult {
+	result := &linkResult{}
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(1, 2))
 		link := &slowLink{bytesPerSecond: mbps * bitsPerMbit / bitsPerByte}
@@ -85,7 +92,7 @@
 					_, _ = w.Write(make([]byte, answerBytes)) // the context does not end
 					r.Release()
 					if through.Sub(begun) <= objective {
-						result.onTime++
+						result.onTime.Add(1)
 					}
 				}()
 				continue
@@ -104,10 +111,10 @@
 	g := NewWithT(t)
 	got := simulateLink(t, 1.2, true)
 	ideal := float64(got.offered) / 1.2
-	g.Expect(float64(got.onTime)).To(BeNumerically(">=", 0.8*ideal))
-	g.Expect(got.onTime+got.rejected).To(BeNumerically(">=", got.offered*97/100), "nothing is sent in vain")
+	g.Expect(float64(got.onTime.Load())).To(BeNumerically(">=", 0.8*ideal))
+	g.Expect(int(got.onTime.Load())+got.rejected).To(BeNumerically(">=", got.offered*97/100), "nothing is sent in vain")
 	without := simulateLink(t, 1.2, false)
-	g.Expect(float64(without.onTime)).To(BeNumerically("<", 0.5*ideal))
+	g.Expect(float64(without.onTime.Load())).To(BeNumerically("<", 0.5*ideal))
 }
 
 func TestSmallAnswersDoNotWaitBehindLargeOnes(t *testing.T) {
