Drain: the log tells what a draining node still holds and takes

Cause: the line of a draining node counted requests in flight only. Change: event 2205 has at_target and accepted_calls.

--- a/plugins/sidecar/accept.go
+++ b/plugins/sidecar/accept.go
@@ -44,10 +44,13 @@
 	if route == nil {
 		return nil, localReply(model.ReasonNoRoute)
 	}
-	if e.drain.closed() && !e.stats.nested(route.Name) {
-		reply := localReply(model.ReasonDraining)
-		reply.RetryAfter = minRetryAfter
-		return nil, reply
+	if e.drain.closed() {
+		if !e.stats.nested(route.Name) {
+			reply := localReply(model.ReasonDraining)
+			reply.RetryAfter = minRetryAfter
+			return nil, reply
+		}
+		e.drain.callAccepted()
 	}
 	c := e.newCall(r, head, target, route)
 	c.configuration = table.Number
--- a/plugins/sidecar/drain.go
+++ b/plugins/sidecar/drain.go
@@ -19,6 +19,11 @@
 	mu        sync.Mutex
 	startedAt time.Time
 	inFlight  int
+	// atTarget is the number of requests that the host's own target runs, or that wait for it.
+	atTarget int
+	// acceptedCalls is the number of requests that were accepted as nested calls after the
+	// linger time.
+	acceptedCalls int
 	// lastEnded is when a request that was not rejected last ended.
 	lastEnded time.Time
 }
@@ -50,6 +55,27 @@
 	}
 }
 
+// targetRequestStarted records that a request arrived at the node beside its target.
+func (d *drain) targetRequestStarted() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.atTarget++
+}
+
+// targetRequestEnded records that a request has left its target.
+func (d *drain) targetRequestEnded() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.atTarget--
+}
+
+// callAccepted records that a request was accepted as a nested call after the linger time.
+func (d *drain) callAccepted() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.acceptedCalls++
+}
+
 func (d *drain) start() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -94,9 +120,9 @@
 // logStage logs a stage of draining.
 func (d *drain) logStage(stage string) {
 	d.mu.Lock()
-	inFlight := d.inFlight
+	fields := event.Fields{"stage": stage, "in_flight": d.inFlight, "at_target": d.atTarget, "accepted_calls": d.acceptedCalls}
 	d.mu.Unlock()
-	d.log.Emit(eventDrain, event.Fields{"stage": stage, "in_flight": inFlight})
+	d.log.Emit(eventDrain, fields)
 }
 
 // idle reports whether no request is in flight, and for drainIdleTime none was but those that
--- a/plugins/sidecar/events.go
+++ b/plugins/sidecar/events.go
@@ -98,8 +98,8 @@
 		Number:  2205,
 		Level:   logrus.InfoLevel,
 		Message: "node is leaving",
-		Fields:  []string{"stage", "in_flight"},
-		Meaning: "The node received a request to stop and is draining. The stages are lingering (it still accepts requests), refusing (it rejects new requests and waits for those in flight) and done.",
+		Fields:  []string{"stage", "in_flight", "at_target", "accepted_calls"},
+		Meaning: "The node received a request to stop and is draining. The stages are lingering (it still accepts requests), refusing (it rejects new requests and waits for those in flight) and done. The field at_target counts the requests at the host's own target, accepted_calls those that were accepted as calls of such requests while the node was refusing.",
 		Action:  "None.",
 	})
 )
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -80,6 +80,8 @@
 // handle runs a request on the target and logs it. It returns once the answer is complete,
 // or its header if the body is streamed.
 func (s *targetSide) handle(ctx context.Context, h *handover, header http.Header, body *messageBody) *answer {
+	s.drain.targetRequestStarted()
+	defer s.drain.targetRequestEnded()
 	start := time.Now()
 	adm := &admission{nested: s.nested(h)}
 	a := s.admit(ctx, h, adm, header, body)
