--- a/plugins/sidecar/accept.go
+++ b/plugins/sidecar/accept.go
@@ -44,15 +44,13 @@
 	if route == nil {
 		return nil, localReply(model.ReasonNoRoute)
 	}
-	if e.drain.closed() {
-		if !e.stats.nested(route.Name) {
-			reply := localReply(model.ReasonDraining)
-			reply.RetryAfter = minRetryAfter
-			return nil, reply
-		}
-		e.drain.callAccepted()
-	}
 	c := e.newCall(r, head, target, route)
+	draining := localReply(model.ReasonDraining)
+	draining.RetryAfter = minRetryAfter
+	if !e.admits(c) {
+		return nil, draining
+	}
+	c.service = e.splitter.Choose(route)
 	c.configuration = table.Number
 	var err error
 	c.body, err = readBody(r.Body, r.ContentLength, table.BodyLimit(route))
@@ -61,10 +59,19 @@
 		return nil, localReply(model.ReasonTooLarge)
 	case err != nil:
 		return nil, localReply(model.ReasonBadRequest)
+	case !e.admits(c): // reading the body took until now
+		c.body.close()
+		return nil, draining
 	}
+	e.drain.requestAccepted()
 	return c, nil
 }
 
+// admits reports whether a call is accepted while the node may be draining.
+func (e *entry) admits(c *call) bool {
+	return e.drain.admits(e.stats.nested(c.route.Name), c.deadline)
+}
+
 // Concurrent reports whether a request may be handled while earlier ones of its connection are:
 // whether its route is idempotent. It implements httpserver.Handler.
 func (e *entry) Concurrent(r *http.Request) bool {
@@ -77,8 +84,8 @@
 	return route != nil && route.Idempotent
 }
 
-// newCall returns the call for a request whose body has not been read yet. Its deadline
-// is the earlier of the caller's deadline and the route's timeout.
+// newCall returns the call for a request whose body has not been read yet and that has no service
+// yet. Its deadline is the earlier of the caller's deadline and the route's timeout.
 func (e *entry) newCall(r *http.Request, head model.RequestHead, target string, route *ingress.Route) *call {
 	receivedAt := time.Now()
 	elapsed := e.stats.elapsed(route.Name, head.Remaining)
@@ -89,7 +96,6 @@
 		authority:         r.Host,
 		header:            forwardedHeaders(r.Header),
 		route:             route,
-		service:           e.splitter.Choose(route),
 		receivedAt:        receivedAt,
 		deadline:          receivedAt.Add(route.Timeout),
 		callerTimeout:     route.Timeout,
--- a/plugins/sidecar/drain.go
+++ b/plugins/sidecar/drain.go
@@ -11,7 +11,8 @@
 
 // drain shuts the node down gracefully. During the linger time the node accepts requests
 // as before, so that callers and peers learn that it is leaving; afterwards it rejects new
-// requests and waits for those in flight.
+// requests, except calls of those that the host's own target still runs, and waits for those in
+// flight.
 type drain struct {
 	settings *liveSettings
 	log      *event.Log
@@ -69,11 +70,27 @@
 	d.atTarget--
 }
 
-// callAccepted records that a request was accepted as a nested call after the linger time.
-func (d *drain) callAccepted() {
+// admits reports whether a request with a deadline is accepted. nested is set if its route appears
+// to carry calls made by targets. A draining node that rejects new requests goes on accepting such
+// calls only while its own target runs requests that can make them, and only if the deadline is
+// before the end of the drain: nothing else bounds how long a request runs, and one that is cut
+// off may have run.
+func (d *drain) admits(nested bool, deadline time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.acceptedCalls++
+	if !d.closedLocked() {
+		return true
+	}
+	return nested && d.atTarget > 0 && !deadline.After(d.endLocked())
+}
+
+// requestAccepted records that a request was accepted.
+func (d *drain) requestAccepted() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closedLocked() {
+		d.acceptedCalls++
+	}
 }
 
 func (d *drain) start() {
@@ -96,17 +113,34 @@
 func (d *drain) closed() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.closedLocked()
+}
+
+// closedLocked is closed for a caller that holds mu.
+func (d *drain) closedLocked() bool {
 	return !d.startedAt.IsZero() && time.Since(d.startedAt) >= d.settings.Load().Linger.Std()
 }
 
-// wait blocks until the node rejects new requests and has none in flight, the grace period
+// endLocked returns the time at which the node stops waiting for requests in flight. Draining must
+// have started. The caller holds mu.
+func (d *drain) endLocked() time.Time {
+	return d.startedAt.Add(d.settings.Load().Grace.Std() - exitReserve)
+}
+
+// expired reports whether the time for requests in flight is over.
+func (d *drain) expired() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !time.Now().Before(d.endLocked())
+}
+
+// wait blocks, after start, until the node rejects new requests and has none in flight, the grace period
 // less exitReserve has passed, or ctx ends.
 func (d *drain) wait(ctx context.Context) {
 	d.logStage("lingering")
 	defer d.logStage("done")
-	limit := time.Now().Add(d.settings.Load().Grace.Std() - exitReserve)
 	rejecting := false
-	for time.Now().Before(limit) && !(d.closed() && d.idle()) {
+	for !d.expired() && !(d.closed() && d.idle()) {
 		if d.closed() && !rejecting {
 			rejecting = true
 			d.logStage("refusing")
--- a/plugins/sidecar/drain_test.go
+++ b/plugins/sidecar/drain_test.go
@@ -70,3 +70,33 @@
 		})
 	}
 }
+
+// Guards against a draining node that takes requests which it has no time to finish.
+func TestOnlyCallsOfTheOwnTargetThatEndInTimeAreAdmittedWhileDraining(t *testing.T) {
+	for name, c := range map[string]struct {
+		at        time.Duration
+		nested    bool
+		atTarget  int
+		remaining time.Duration
+		want      bool
+	}{
+		"while lingering, any request":       {at: defaultLinger - time.Millisecond, remaining: time.Minute, want: true},
+		"not nested":                         {at: defaultLinger, atTarget: 1, remaining: time.Second},
+		"nested, nothing runs at the target": {at: defaultLinger, nested: true, remaining: time.Second},
+		"nested, ends with the drain":        {at: defaultLinger, nested: true, atTarget: 1, remaining: defaultGrace - exitReserve - defaultLinger, want: true},
+		"nested, may end after the drain":    {at: defaultLinger, nested: true, atTarget: 1, remaining: defaultGrace - exitReserve - defaultLinger + time.Millisecond},
+		"nested, at the end of the drain":    {at: defaultGrace - exitReserve, nested: true, atTarget: 1, remaining: time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newTestDrain()
+				for range c.atTarget {
+					d.targetRequestStarted()
+				}
+				d.start()
+				time.Sleep(c.at)
+				NewWithT(t).Expect(d.admits(c.nested, time.Now().Add(c.remaining))).To(Equal(c.want))
+			})
+		})
+	}
+}
