A copy of the store keeps no data that no node can use; errors that quote an item are shortened

Another writer's values were kept whatever their size, four earlier versions of each and for ever after a removal, and were sent to peers, whose answers end at 8 MiB. Errors about an item quote it, up to 1 MB for each write. Change: entries of more than 64 KiB and items of unknown kinds are kept without data, removed items without earlier versions; errors end at 4 KiB.

--- a/plugins/replica/apply.go
+++ b/plugins/replica/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"github.com/bronzemast/bronzemast/config/ingress"
@@ -75,16 +76,37 @@
 // applyToCopy applies an update to the copy and returns the items that changed. The caller
 // holds mu.
 func (r *Replica) applyToCopy(u update) []model.Item {
+	items := r.dropUnusableData(u.items)
 	switch {
 	case !u.complete:
-		return r.copy.applyFromPeer(u.items, u.position, u.peerGap)
+		return r.copy.applyFromPeer(items, u.position, u.peerGap)
 	case u.position.Before(r.copy.position):
 		return nil
 	default:
-		return r.copy.replace(u.items, u.position)
+		return r.copy.replace(items, u.position)
 	}
 }
 
+// maxEntryBytes bounds the data of a target's entry. An entry that a target has written has some
+// 200 bytes.
+const maxEntryBytes = 64 << 10
+
+// dropUnusableData returns the items without the data that no node can use: that of items of
+// unknown kinds, and of entries that are too large for a target's. Other writers may leave any
+// number of them, and a copy is held in memory and sent to peers. Items without data are
+// unreadable.
+func (r *Replica) dropUnusableData(items []model.Item) []model.Item {
+	kept := make([]model.Item, len(items))
+	for i, item := range items {
+		kind := r.decoder.Kind(item.Key)
+		if kind == model.ItemOther || kind != model.ItemConfiguration && len(item.Data) > maxEntryBytes {
+			item.Data = nil
+		}
+		kept[i] = item
+	}
+	return kept
+}
+
 func (r *Replica) logRestore(earlier model.Position, changes int, via string) {
 	r.log.Emit(eventRestored, event.Fields{"revision": r.copy.position, "earlier": earlier, "changes": changes, "via": via})
 }
@@ -105,7 +127,7 @@
 	table, err := withoutPanic(item, r.compile)
 	if err != nil {
 		r.metrics.refused.Add(1)
-		r.log.Emit(eventRefused, event.Fields{"revision": item.Position, "via": via, "error": err.Error()})
+		r.log.Emit(eventRefused, event.Fields{"revision": item.Position, "via": via, "error": errorText(err)})
 		return
 	}
 	r.table.Store(table)
@@ -128,6 +150,18 @@
 	return read(item)
 }
 
+// maxErrorBytes bounds the text of an error in an event. Errors quote the item, which may have 1 MB.
+const maxErrorBytes = 4 << 10
+
+// errorText returns the text of an error about an item, shortened if it is long.
+func errorText(err error) string {
+	text := err.Error()
+	if len(text) <= maxErrorBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
+}
+
 // compile decodes and compiles a configuration. It fails if its number is lower than that
 // of the configuration in force.
 func (r *Replica) compile(item model.Item) (*ingress.Table, error) {
@@ -160,7 +194,7 @@
 	target, err := withoutPanic(item, r.decoder.Target)
 	if err != nil {
 		r.metrics.unreadable.Add(1)
-		r.log.Emit(eventEntry, event.Fields{"revision": item.Position, "error": err.Error()})
+		r.log.Emit(eventEntry, event.Fields{"revision": item.Position, "error": errorText(err)})
 		r.targets.remove(item.Key, c.at, c.at)
 		return
 	}
--- a/plugins/replica/copy.go
+++ b/plugins/replica/copy.go
@@ -23,8 +23,8 @@
 	compacted model.Position
 	// gap is the latest range of positions that the copy has not seen.
 	gap gap
-	// previous holds the last versions of each large item, oldest first. They are the
-	// bases of the deltas sent to peers.
+	// previous holds the last versions of each large item that is not removed, oldest first.
+	// They are the bases of the deltas sent to peers.
 	previous map[string][]model.Item
 }
 
@@ -106,12 +106,13 @@
 	if known && !held.Position.Before(item.Position) {
 		return false
 	}
-	c.keepPrevious(held)
 	if !item.Removed {
+		c.keepPrevious(held)
 		c.items[item.Key] = item
 		return true
 	}
 	delete(c.items, item.Key)
+	delete(c.previous, item.Key)
 	c.recordRemoval(item)
 	return known
 }
--- a/plugins/replica/evacuation.go
+++ b/plugins/replica/evacuation.go
@@ -80,7 +80,7 @@
 	domain, err := withoutPanic(item, r.decoder.Evacuation)
 	if err != nil {
 		r.metrics.unreadable.Add(1)
-		r.log.Emit(eventUnreadableEvacuation, event.Fields{"failure_domain": domain, "revision": item.Position, "error": err.Error()})
+		r.log.Emit(eventUnreadableEvacuation, event.Fields{"failure_domain": domain, "revision": item.Position, "error": errorText(err)})
 	}
 	if domain == "" {
 		return
