A request is not sent on a connection that has carried its ID

What callers saw: 'not run, try again' (503) for unsafe requests that a worker had run, if that worker wrote an earlier refusal once more on a kept connection (operators' report). Cause: an extra answer is told from the request's own by the ID. It can't be if an earlier request on the connection had the same ID, as when a caller uses one again, or if both had none. Why it works: an extra answer on the connection then has an ID that the request has not.

--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -78,7 +78,7 @@
 func itoa(n int) string { return strings.TrimSpace(string(rune('0' + n))) }
 
 func getRequest(id string) *Request {
-	return &Request{Method: http.MethodGet, Target: "/" + id, Host: "peer", Header: http.Header{"Id": {id}}, Matches: func(h http.Header) bool {
+	return &Request{Method: http.MethodGet, Target: "/" + id, Host: "peer", ID: id, Header: http.Header{"Id": {id}}, Matches: func(h http.Header) bool {
 		return h.Get("Id") == id
 	}}
 }
@@ -312,3 +312,31 @@
 	clear(p)
 	return len(p), nil
 }
+
+// Guards against an extra response to an earlier request with the same ID.
+func TestRequestIsNotSentOnAConnectionThatHasCarriedItsID(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(t, func(conn net.Conn, r *http.Request, _ int32) bool { return respond(conn, r.Header.Get("Id"), "abc") })
+	pool := s.pool()
+	for connections, id := range []string{"a", "a", "", ""} {
+		g.Expect(fetch(pool, id)).To(Equal("abc"))
+		g.Expect(s.connections.Load()).To(Equal(int32(connections + 1)))
+	}
+	for _, id := range []string{"b", "c", "d"} {
+		g.Expect(fetch(pool, id)).To(Equal("abc"))
+	}
+	g.Expect(s.connections.Load()).To(Equal(int32(4)))
+}
+
+func TestAConnectionRemembersItsLatestRequests(t *testing.T) {
+	g := NewWithT(t)
+	var carried carriedIDs
+	id := func(n int) string { return strings.Repeat("x", n) }
+	for n := range 3 * maxCarriedIDs {
+		g.Expect(carried.includes(id(n))).To(BeFalse())
+		carried.add(id(n))
+		g.Expect(carried.includes(id(n))).To(BeTrue())
+		g.Expect(carried.includes(id(max(n-maxCarriedIDs+1, 0)))).To(BeTrue())
+	}
+	g.Expect(carried.hashes).To(HaveLen(maxCarriedIDs))
+}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -41,6 +42,8 @@
 	writer *bufio.Writer
 	// headLimit bounds what reader reads of a head.
 	headLimit *headLimiter
+	// carried remembers the requests that were sent on the connection.
+	carried carriedIDs
 	// idleSince is the time at which the last exchange ended, which is also the last
 	// time at which the server was known to respond on this connection.
 	idleSince time.Time
@@ -52,10 +55,11 @@
 	return &Pool{dial: dial, maxIdle: maxIdle, idleTimeout: idleTimeout}
 }
 
-// acquire returns an idle connection that passes the probe, or else a new connection.
-func (p *Pool) acquire(ctx context.Context, probe *Probe) (*conn, error) {
+// acquire returns an idle connection that the request may use and that passes its probe, or else a
+// new connection.
+func (p *Pool) acquire(ctx context.Context, r *Request) (*conn, error) {
 	for {
-		c := p.pop()
+		c := p.pop(r)
 		if c == nil {
 			break
 		}
@@ -63,7 +67,7 @@
 			_ = c.Close() // the server closed it or sent unsolicited data
 			continue
 		}
-		if probe.passes(ctx, c) {
+		if r.Probe.passes(ctx, c) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -113,19 +117,19 @@
 	return nil
 }
 
-// pop removes and returns the most recently used idle connection, nil if there is none.
-// It closes the connections that have exceeded the idle timeout.
-func (p *Pool) pop() *conn {
+// pop removes and returns the most recently used idle connection that a request may use, nil if
+// there is none. It closes the connections that have exceeded the idle timeout.
+func (p *Pool) pop(r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closeExpired(time.Now())
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil
+	for i, c := range slices.Backward(p.idle) {
+		if r.mayUse(c) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	c := p.idle[last]
-	p.idle = p.idle[:last]
-	return c
+	return nil
 }
 
 // closeExpired closes the connections that have exceeded the idle timeout, which are at
--- a/internal/httpconn/roundtrip.go
+++ b/internal/httpconn/roundtrip.go
@@ -34,6 +34,9 @@
 	Body io.Reader
 	// Length is the length of the body; -1 sends it in chunks.
 	Length int64
+	// ID identifies the request to Matches; empty if the request has no ID. It is not used if
+	// Matches is nil.
+	ID string
 	// Matches reports whether a response with the given header belongs to the
 	// request. Other responses are discarded. Nil accepts any response.
 	Matches func(h http.Header) bool
@@ -64,10 +67,11 @@
 // The caller must close the body; until then the end of ctx aborts the exchange, and its
 // connection is closed. Errors are of type *Error.
 func (p *Pool) RoundTrip(ctx context.Context, r *Request) (*http.Response, error) {
-	c, err := p.acquire(ctx, r.Probe)
+	c, err := p.acquire(ctx, r)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	c.carried.add(r.ID)
 	e := &exchange{pool: p, conn: c, request: r, written: make(chan error, 1)}
 	e.stopAbort = context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(expiredDeadline) // the pending read or write returns the error
--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -54,6 +54,7 @@
 		Header: header,
 		Body:   body.reader(),
 		Length: body.length,
+		ID:     h.ID,
 		// A request without an ID must not get the late answer to one that has an ID.
 		Matches: func(header http.Header) bool { return s.exchange.ParseResponse(0, header).ID == h.ID },
 	})
