A status alone does not say that a request has not run

What callers saw: 503, 429 and 408 for unsafe requests that a worker had run and answered with that status, without saying that it had not run them. Callers take these statuses for a promise. Cause: such an answer was passed on like any other. Change: it counts as lost, since it says nothing about the run: the caller gets 502, and an idempotent request may be retried.

--- a/model/exchange.go
+++ b/model/exchange.go
@@ -49,6 +49,9 @@
 	ID string
 	// NotRun is set when the target reports that it did not run the request.
 	NotRun bool
+	// ClaimsNotRun is set when the status tells callers that the request has not run, but NotRun
+	// is not set.
+	ClaimsNotRun bool
 	// WrongTarget is set when the target rejected the request because it was meant
 	// for another incarnation.
 	WrongTarget bool
--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -119,7 +119,8 @@
 }
 
 // readAnswer reads the target's response and determines the outcome. A successful response
-// that is not signed by the target, or any that is content-encoded, counts as lost.
+// that is not signed by the target counts as lost, and so does any that is content-encoded or has a
+// status that says that the request has not run, unless the target says so itself.
 func (s *targetSide) readAnswer(ctx context.Context, inst *instance, h *handover, response *http.Response, start callStart) *answer {
 	inst.recordAnswer()
 	inst.crashes.Reached()
@@ -151,9 +152,9 @@
 		}
 		inst.recordResult(!head.WrongTarget)
 		return a
-	case head.Encoded || !head.Signed && a.status < http.StatusMultipleChoices:
+	case head.Encoded || !head.Signed && a.status < http.StatusMultipleChoices || head.ClaimsNotRun:
 		body.close()
-		return s.noAnswer(ctx, inst, &httpconn.Error{Sent: true, Err: errors.New("the answer is unsigned or content-encoded")})
+		return s.noAnswer(ctx, inst, &httpconn.Error{Sent: true, Err: errors.New("the answer is unsigned, content-encoded or claims by its status alone that the request has not run")})
 	}
 	a.Outcome = model.OutcomeRan
 	a.Failed = a.status >= http.StatusInternalServerError
--- a/test/sidecar/staleanswer_test.go
+++ b/test/sidecar/staleanswer_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -9,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/bronzemast/bronzemast/platform/standin"
+	"github.com/bronzemast/bronzemast/platform/standin/sidecarfleet"
 )
 
 // staleAnswer is a way in which a faulty worker answers a request that follows a refused one on the
@@ -106,3 +108,25 @@
 		}
 	}
 }
+
+// Guards against a status that promises that a request has not run, in an answer that does not
+// say so otherwise.
+func TestAnAnswerThatOnlyItsStatusMakesARefusalPromisesNothing(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout} {
+		for name, head := range map[string]string{"signed": "X-Response-Signature: signed-by-raw\r\n", "unsigned": ""} {
+			t.Run(http.StatusText(status)+", "+name, func(t *testing.T) {
+				g := NewWithT(t)
+				routes := []route{{Prefix: "/file/", Kind: "unsafe", Service: "alpha", Timeout: "2s"}}
+				f := startRawFleet(newFleet(t, "alpha", "beta"), routes, func(run standin.Run, _ []standin.Run) standin.RawAnswer {
+					text := fmt.Sprintf("HTTP/1.1 %d Busy\r\n", status) + "X-Request-Id: " + run.ID + "\r\n" + head + "Content-Length: 0\r\n\r\n"
+					return standin.RawAnswer{Runs: true, Pieces: []standin.RawPiece{{Text: text}}}
+				})
+				for _, entry := range f.hosts {
+					r := entry.SendWithID(sidecarfleet.NewRequestID(), noKeepAliveClient, http.MethodPost, "/file/x", "body")
+					g.Expect(r.NotRun()).To(BeFalse(), "%s has run", r)
+				}
+				g.Expect(f.worker.Runs()).To(HaveLen(len(f.hosts)))
+			})
+		}
+	}
+}
