--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -173,7 +173,8 @@
 	c.mu.Unlock()
 	buffer := make([]byte, 1<<10)
 	for {
-		if _, err := c.reader.Read(buffer); err != nil {
+		// A handler that has ended may have left a goroutine that reads the body.
+		if _, err := c.rwc.Read(buffer); err != nil {
 			return
 		}
 	}
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -212,6 +212,11 @@
 	if err != nil {
 		return // the sender has disconnected
 	}
+	if !body.buffered() {
+		// Otherwise net/http discards what is left of the body before it writes the response,
+		// and takes pieces of it away while it is still sent on to the target.
+		_ = http.NewResponseController(w).EnableFullDuplex() // only HTTP/1 needs it
+	}
 	a := s.handle(r.Context(), h, forwardedHeaders(r.Header), body)
 	defer a.close()
 	rejected = a.Reason == model.ReasonDraining
