--- a/internal/httpget/httpget.go
+++ b/internal/httpget/httpget.go
@@ -47,6 +47,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Truncated is set if the body was longer than the limit.
+	Truncated bool
 }
 
 // Get sends a request and returns its response.
@@ -65,9 +67,13 @@
 	}
 	timer.Reset(l.BodyTimeout)
 	defer func() { _ = response.Body.Close() }() // the body was read or has failed
-	body, err := io.ReadAll(io.LimitReader(response.Body, l.MaxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, l.MaxBodyBytes+1))
 	if err != nil {
 		return nil, err
 	}
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	truncated := int64(len(body)) > l.MaxBodyBytes
+	if truncated {
+		body = body[:l.MaxBodyBytes]
+	}
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: body, Truncated: truncated}, nil
 }
--- a/model/store.go
+++ b/model/store.go
@@ -21,8 +21,8 @@
 }
 
 // ErrCompacted is returned by a Store whose history no longer reaches back to the
-// requested position; the caller must list the items again.
-var ErrCompacted = errors.New("the store has no history after the requested position")
+// requested position, or is too long for one response; the caller must list the items again.
+var ErrCompacted = errors.New("the store cannot return the history after the requested position")
 
 // ErrRateLimited is returned by a Store that rejects a call because the rate limit is
 // exceeded.
--- a/plugins/replica/apply.go
+++ b/plugins/replica/apply.go
@@ -76,37 +76,16 @@
 // applyToCopy applies an update to the copy and returns the items that changed. The caller
 // holds mu.
 func (r *Replica) applyToCopy(u update) []model.Item {
-	items := r.dropUnusableData(u.items)
 	switch {
 	case !u.complete:
-		return r.copy.applyFromPeer(items, u.position, u.peerGap)
+		return r.copy.applyFromPeer(u.items, u.position, u.peerGap)
 	case u.position.Before(r.copy.position):
 		return nil
 	default:
-		return r.copy.replace(items, u.position)
+		return r.copy.replace(u.items, u.position)
 	}
 }
 
-// maxEntryBytes bounds the data of a target's entry. An entry that a target has written has some
-// 200 bytes.
-const maxEntryBytes = 64 << 10
-
-// dropUnusableData returns the items without the data that no node can use: that of items of
-// unknown kinds, and of entries that are too large for a target's. Other writers may leave any
-// number of them, and a copy is held in memory and sent to peers. Items without data are
-// unreadable.
-func (r *Replica) dropUnusableData(items []model.Item) []model.Item {
-	kept := make([]model.Item, len(items))
-	for i, item := range items {
-		kind := r.decoder.Kind(item.Key)
-		if kind == model.ItemOther || kind != model.ItemConfiguration && len(item.Data) > maxEntryBytes {
-			item.Data = nil
-		}
-		kept[i] = item
-	}
-	return kept
-}
-
 func (r *Replica) logRestore(earlier model.Position, changes int, via string) {
 	r.log.Emit(eventRestored, event.Fields{"revision": r.copy.position, "earlier": earlier, "changes": changes, "via": via})
 }
