--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -58,6 +58,14 @@
 	return w.exchange.conn.rwc.SetWriteDeadline(deadline)
 }
 
+// AwaitTurn waits until all earlier responses of the connection have been written, so that WriteHeader
+// does not block. It returns false if the connection is lost, and true at once for a ResponseWriter
+// that is not of this package.
+func AwaitTurn(w http.ResponseWriter) bool {
+	own, ok := w.(*response)
+	return !ok || own.exchange.conn.awaitTurn(own.exchange)
+}
+
 // WriteHeader implements http.ResponseWriter. Interim responses are not supported.
 func (w *response) WriteHeader(status int) {
 	if w.status != 0 || status < http.StatusOK {
--- a/test/sidecar/pipeline_test.go
+++ b/test/sidecar/pipeline_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -60,3 +61,41 @@
 	}
 	return answered
 }
+
+// Guards against answers that are complete and are dropped, with their connection, since they have
+// waited too long for an earlier request of it.
+func TestAnswersThatWaitForALongRequestOfTheirConnectionAreDelivered(t *testing.T) {
+	const (
+		longRun     = 7 * time.Second // longer than the timeout of the other route and the time to write
+		answerBytes = 20_000          // more than is buffered
+		behind      = 3
+	)
+	g := NewWithT(t)
+	routes := []route{
+		{Prefix: "/long/", Kind: "safe", Service: "alpha", Timeout: "10s"},
+		{Prefix: "/look/", Kind: "safe", Service: "beta", Timeout: "1s"},
+	}
+	f := startFleet(t, routes, "alpha", "beta")
+	f.hosts[0].Worker.ServiceTime = longRun
+	f.hosts[1].Worker.SetAnswerBytes(answerBytes)
+	for _, h := range f.hosts {
+		conn, err := net.Dial("tcp", h.Host.Host.CallAddress)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = conn.Close() }() // nothing depends on the result
+		for i, path := range append([]string{"/long/a"}, slices.Repeat([]string{"/look/a"}, behind)...) {
+			_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: r-%d\r\nX-Deadline-Ms: 15000\r\n\r\n", path, authority, i)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		reader := bufio.NewReader(conn)
+		for i := range behind + 1 {
+			_ = conn.SetReadDeadline(time.Now().Add(eventualTimeout)) // the connection is open
+			response, err := http.ReadResponse(reader, nil)
+			g.Expect(err).NotTo(HaveOccurred(), "answer %d", i)
+			body, err := io.ReadAll(response.Body)
+			g.Expect(err).NotTo(HaveOccurred(), "answer %d", i)
+			g.Expect(response.StatusCode).To(Equal(http.StatusOK), "answer %d", i)
+			g.Expect(response.Header.Get("X-Request-Id")).To(Equal(fmt.Sprintf("r-%d", i)))
+			g.Expect(i == 0 || len(body) == answerBytes).To(BeTrue(), "answer %d has %d bytes", i, len(body))
+		}
+	}
+}
