--- a/test/sidecar/draincalls_test.go
+++ b/test/sidecar/draincalls_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -13,43 +12,13 @@
 	"github.com/bronzemast/bronzemast/platform/standin/sidecarfleet"
 )
 
-// pressingCallers send requests to one host on open connections until they are stopped, whether
-// its node is ready or not.
-type pressingCallers struct {
-	mu      sync.Mutex
-	replies []reply
-	stop    chan struct{}
-	done    sync.WaitGroup
-}
-
-// pressOn starts callers of a host.
-func (h *host) pressOn(callers int, method, path string) *pressingCallers {
-	p := &pressingCallers{stop: make(chan struct{})}
+// pressOn starts callers of a host that send requests whether its node is ready or not.
+func (h *host) pressOn(callers int, method, path string) *traffic {
+	tr := &traffic{stop: make(chan struct{}), unready: true}
 	for range callers {
-		p.done.Go(func() {
-			client := &http.Client{Transport: &http.Transport{}}
-			defer client.CloseIdleConnections()
-			for {
-				select {
-				case <-p.stop:
-					return
-				case <-time.After(sendInterval):
-				}
-				r := h.send(client, method, path, "body")
-				p.mu.Lock()
-				p.replies = append(p.replies, r)
-				p.mu.Unlock()
-			}
-		})
+		tr.done.Go(func() { tr.run(h, sendInterval, method, path) })
 	}
-	return p
-}
-
-// end stops the callers and returns the replies that they received.
-func (p *pressingCallers) end() []reply {
-	close(p.stop)
-	p.done.Wait()
-	return p.replies
+	return tr
 }
 
 // Guards against a draining node that takes requests which it has no time to finish: the requests
@@ -64,7 +33,7 @@
 		w.ServiceTime = 400 * time.Millisecond
 	}
 	lookups := f.trafficEvery(100*time.Millisecond, http.MethodGet, "/look/x")
-	orders := []*pressingCallers{f.hosts[0].pressOn(callers, http.MethodPost, "/file/x"), f.hosts[1].pressOn(2, http.MethodPost, "/file/x")}
+	orders := []*traffic{f.hosts[0].pressOn(callers, http.MethodPost, "/file/x"), f.hosts[1].pressOn(2, http.MethodPost, "/file/x")}
 	time.Sleep(5 * time.Second)
 	f.hosts[0].signal(syscall.SIGTERM)
 	f.hosts[0].wait()
--- a/test/sidecar/path_test.go
+++ b/test/sidecar/path_test.go
@@ -15,6 +15,9 @@
 // traffic sends requests to hosts until it is stopped. Like real callers, it uses only
 // ready nodes and keeps connections open.
 type traffic struct {
+	// unready is set if nodes that are not ready are used as well.
+	unready bool
+
 	mu      sync.Mutex
 	replies []reply
 	stop    chan struct{}
@@ -32,11 +35,7 @@
 func (f *fleet) trafficEvery(interval time.Duration, method, path string) *traffic {
 	tr := &traffic{stop: make(chan struct{})}
 	for _, h := range f.hosts {
-		tr.done.Add(1)
-		go func() {
-			defer tr.done.Done()
-			tr.run(h, interval, method, path)
-		}()
+		tr.done.Go(func() { tr.run(h, interval, method, path) })
 	}
 	return tr
 }
@@ -52,7 +51,7 @@
 			return
 		case <-ticker.C:
 		}
-		if !h.ready() {
+		if !tr.unready && !h.ready() {
 			continue
 		}
 		r := h.send(client, method, path, "body")
