--- a/internal/httpconn/roundtrip.go
+++ b/internal/httpconn/roundtrip.go
@@ -71,7 +71,9 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
-	c.carried.add(r.ID)
+	if r.Matches != nil {
+		c.carried.add(r.ID)
+	}
 	e := &exchange{pool: p, conn: c, request: r, written: make(chan error, 1)}
 	e.stopAbort = context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(expiredDeadline) // the pending read or write returns the error
--- a/plugins/sidecar/accept.go
+++ b/plugins/sidecar/accept.go
@@ -45,10 +45,13 @@
 		return nil, localReply(model.ReasonNoRoute)
 	}
 	c := e.newCall(r, head, target, route)
-	draining := localReply(model.ReasonDraining)
-	draining.RetryAfter = minRetryAfter
+	drainingReply := func() *model.LocalReply {
+		reply := localReply(model.ReasonDraining)
+		reply.RetryAfter = minRetryAfter
+		return reply
+	}
 	if !e.admits(c) {
-		return nil, draining
+		return nil, drainingReply()
 	}
 	c.service = e.splitter.Choose(route)
 	c.configuration = table.Number
@@ -61,7 +64,7 @@
 		return nil, localReply(model.ReasonBadRequest)
 	case !e.admits(c): // reading the body took until now
 		c.body.close()
-		return nil, draining
+		return nil, drainingReply()
 	}
 	e.drain.requestAccepted()
 	return c, nil
