Profile fleet: a body that is being sent on is read by nobody else

Change: requests whose bodies are sent on are in full duplex. The node program of the profile sidecar does not contain this code.

--- a/plugins/forwarding/call.go
+++ b/plugins/forwarding/call.go
@@ -80,6 +80,9 @@
 	if c.request.ContentLength != 0 && body.rest == nil {
 		_ = control.SetReadDeadline(time.Time{}) // as above
 	}
+	if body.rest != nil {
+		allowEarlyAnswer(w)
+	}
 	c.body = body
 	c.fingerprint = c.identify()
 	return model.ReasonNone
--- a/plugins/forwarding/stream.go
+++ b/plugins/forwarding/stream.go
@@ -71,6 +71,12 @@
 	return flush()
 }
 
+// allowEarlyAnswer lets a response be written while the body of the request is still sent on. Otherwise
+// net/http discards what is left of the body first, and takes pieces of it away.
+func allowEarlyAnswer(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).EnableFullDuplex() // HTTP/2 always is, and does not support it
+}
+
 // errTooLarge is returned when a body is longer than the limit.
 var errTooLarge = errors.New("body is longer than the limit")
 
--- a/plugins/forwarding/targetside.go
+++ b/plugins/forwarding/targetside.go
@@ -210,6 +210,9 @@
 	in.run = t.crashes.Started(in.fingerprint)
 	completed := false
 	defer func() { t.runEnded(in, completed) }()
+	if in.request.ContentLength != 0 {
+		allowEarlyAnswer(w)
+	}
 	response, dispatched, err := t.target.call(ctx, in)
 	if err != nil {
 		if errors.Is(err, errCrossedAnswer) {
