Large files of the profile fleet, the benches and the stand-ins are split by job

Moved without a change: notices, ticks and views of the roster; values and parts of the source; changes and hosts of the bench of changes; calls and report of the checker; slots and control of the stand-in target.

--- a/plugins/membership/roster.go
+++ b/plugins/membership/roster.go
@@ -1,14 +1,12 @@
 package membership
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/bronzemast/bronzemast/event"
-	"github.com/bronzemast/bronzemast/internal/clock"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
 )
@@ -81,16 +79,6 @@
 	return r
 }
 
-// View implements model.Fleet.
-func (r *roster) View() *model.View {
-	return r.view.Load()
-}
-
-// Subscribe implements model.Fleet.
-func (r *roster) Subscribe(f func(*model.View)) {
-	r.viewSubscribers = append(r.viewSubscribers, f)
-}
-
 // SubscribeNotices implements model.Fleet.
 func (r *roster) SubscribeNotices(f func(model.Notice)) {
 	r.noticeSubscribers = append(r.noticeSubscribers, f)
@@ -167,13 +155,6 @@
 	return res
 }
 
-// mayBroadcast reports whether the node may announce state changes of other hosts:
-// it must have received evidence from another host within trustAlive. Otherwise the
-// node itself may be the one that is partitioned.
-func (r *roster) mayBroadcast(now time.Time) bool {
-	return !r.lastContact.IsZero() && now.Sub(r.lastContact) < r.timing.trustAlive
-}
-
 // store replaces the contents of a record; the lock must be held.
 func (r *roster) store(old *record, updated record) {
 	visible := old.state != updated.state || old.incarnation != updated.incarnation
@@ -190,183 +171,3 @@
 		r.markDirty()
 	}
 }
-
-func (r *roster) markDirty() {
-	select {
-	case r.dirty <- struct{}{}:
-	default:
-	}
-}
-
-// Apply implements model.Fleet.
-func (r *roster) Apply(n model.Notice) bool {
-	r.mu.Lock()
-	now := r.detectPause(time.Now())
-	var res result
-	if n.Host == r.host.ID {
-		res = r.refuteNotice(n)
-	} else if old := r.records[n.Host]; old != nil {
-		var updated record
-		updated, res = r.timing.applyNotice(*old, n, now)
-		r.store(old, updated)
-	}
-	r.mu.Unlock()
-	r.metrics.notices.Add(1)
-	if res.fresh {
-		r.metrics.freshNotices.Add(1)
-	}
-	r.broadcast(res.originate)
-	return res.fresh
-}
-
-// refuteNotice returns a refutation of a notice that gives a wrong state of the
-// node's own process; the lock must be held. Notices about other processes of the
-// host are dropped.
-func (r *roster) refuteNotice(n model.Notice) result {
-	if n.Incarnation != r.incarnation {
-		return result{}
-	}
-	r.sequence = max(r.sequence, n.Sequence)
-	if n.State == r.ownState {
-		return result{}
-	}
-	r.metrics.refutations.Add(1)
-	refutation := r.ownNotice()
-	return result{originate: &refutation}
-}
-
-// ownNotice returns a notice of the node's own state with the next sequence; the
-// lock must be held.
-func (r *roster) ownNotice() model.Notice {
-	r.sequence++
-	return model.Notice{Host: r.host.ID, Incarnation: r.incarnation, State: r.ownState, Sequence: r.sequence}
-}
-
-// Announce implements model.Fleet. A process cannot return from leaving to live.
-func (r *roster) Announce(state model.MemberState) {
-	r.mu.Lock()
-	r.ownState = max(r.ownState, state)
-	n := r.ownNotice()
-	r.rebuildView()
-	r.markDirty()
-	r.mu.Unlock()
-	r.broadcast(&n)
-}
-
-// broadcast passes a notice to the subscribers; it ignores nil. If the fault hook
-// fails, a notice of leaving is dropped and logged.
-func (r *roster) broadcast(n *model.Notice) {
-	if n == nil {
-		return
-	}
-	if n.State == model.MemberLeaving {
-		if err := r.hooks.At(context.Background(), kernel.HookNotifyLeaving); err != nil {
-			r.log.Emit(eventNoticeFailed, event.Fields{"member": string(n.Host), "error": err.Error()})
-			return
-		}
-	}
-	r.metrics.originated.Add(1)
-	for _, f := range r.noticeSubscribers {
-		f(*n)
-	}
-}
-
-// detectPause restarts all suspicions if the process was paused since the last
-// call; the lock must be held. It returns now.
-func (r *roster) detectPause(now time.Time) time.Time {
-	gap := elapsedSince(now, r.lastRun)
-	r.lastRun = now
-	if gap < pauseThreshold {
-		return now
-	}
-	r.metrics.pauses.Add(1)
-	r.resumedAt = now
-	r.lastContact = time.Time{}
-	for id := range r.timeDependent {
-		old := r.records[id]
-		r.store(old, r.timing.resetSuspicion(*old, now))
-	}
-	r.log.Emit(eventPaused, event.Fields{"seconds": gap.Seconds()})
-	return now
-}
-
-// elapsedSince returns the time from previous to now by the monotonic or the wall
-// clock, whichever is larger. The monotonic clock may stop while the machine is
-// suspended.
-func elapsedSince(now, previous time.Time) time.Duration {
-	return max(now.Sub(previous), now.Round(0).Sub(previous.Round(0)))
-}
-
-// tickLoop calls tick at every tickInterval until ctx ends.
-func (r *roster) tickLoop(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			r.tick(time.Now())
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// tick applies expired timeouts to the time-dependent hosts.
-func (r *roster) tick(now time.Time) {
-	var originate []*model.Notice
-	r.mu.Lock()
-	r.detectPause(now)
-	broadcast := r.mayBroadcast(now)
-	for id := range r.timeDependent {
-		old := r.records[id]
-		updated, res := r.timing.expire(*old, now, broadcast)
-		r.store(old, updated)
-		originate = append(originate, res.originate)
-	}
-	r.mu.Unlock()
-	for _, n := range originate {
-		r.broadcast(n)
-	}
-}
-
-// publishViews builds a view after changes, at most one per interval, and passes it
-// to the subscribers, until ctx ends.
-func (r *roster) publishViews(ctx context.Context, interval time.Duration) {
-	for {
-		select {
-		case <-r.dirty:
-			r.mu.Lock()
-			r.rebuildView()
-			r.mu.Unlock()
-			r.notify()
-		case <-ctx.Done():
-			return
-		}
-		if !clock.Sleep(ctx, interval) {
-			return
-		}
-	}
-}
-
-func (r *roster) notify() {
-	view := r.View()
-	for _, f := range r.viewSubscribers {
-		f(view)
-	}
-}
-
-// rebuildView builds a new view from the records; the lock must be held.
-func (r *roster) rebuildView() {
-	members := make([]model.Member, 0, len(r.order))
-	for _, id := range r.order {
-		current := r.records[id]
-		m := model.Member{Host: current.host, State: current.state, Incarnation: current.incarnation}
-		if id == r.host.ID {
-			m.State = max(r.ownState, current.healthyState())
-			m.Incarnation = r.incarnation
-		}
-		members = append(members, m)
-	}
-	r.metrics.views.Add(1)
-	r.view.Store(model.NewView(r.revision, members))
-}
