--- a/test/sidecar/staleanswer_test.go
+++ b/test/sidecar/staleanswer_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,8 +72,9 @@
 	const usable, first, second = "is it usable?", "first body", "second body"
 	routes := []route{{Prefix: "/file/", Kind: "unsafe", Service: "alpha", Timeout: "2s"}}
 	ways := staleAnswers()
-	var way staleAnswer
+	var current atomic.Pointer[staleAnswer]
 	f := startRawFleet(newFleet(t, "alpha", "beta"), routes, func(run standin.Run, earlier []standin.Run) standin.RawAnswer {
+		way := current.Load()
 		refusal := rawRefusal(way.status, way.firstID)
 		kept := slices.ContainsFunc(earlier, func(r standin.Run) bool { return r.Body == first && r.ID == way.firstID })
 		switch run.Body {
@@ -90,7 +92,7 @@
 		for name, w := range ways {
 			t.Run(string(entry.Host.Host.ID)+", "+name, func(t *testing.T) {
 				g := NewWithT(t)
-				way = w
+				current.Store(&w)
 				// A worker whose answer was not usable gets no requests for a while.
 				g.Eventually(func() reply { return entry.send(noKeepAliveClient, http.MethodPost, "/file/x", usable) }, eventualTimeout, pollInterval).Should(Satisfy(reply.Succeeded))
 				before := len(f.worker.Runs())
--- a/test/sidecar/truncatedhead_test.go
+++ b/test/sidecar/truncatedhead_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,9 +55,9 @@
 					{Prefix: "/file/", Kind: "unsafe", Service: "alpha", Timeout: "2s"},
 					{Prefix: "/look/", Kind: "safe", Service: "alpha", Timeout: "2s"},
 				}
-				end := 0
+				var end atomic.Int64
 				f := startRawFleet(newFleet(t, "alpha", "beta"), routes, func(run standin.Run, _ []standin.Run) standin.RawAnswer {
-					text := strings.ReplaceAll(head.text[:end], "%s", run.ID)
+					text := strings.ReplaceAll(head.text[:end.Load()], "%s", run.ID)
 					pieces := []standin.RawPiece{{Text: text}}
 					if reset {
 						pieces = append(pieces, standin.RawPiece{Delay: time.Millisecond}) // the text leaves before the reset
@@ -64,14 +65,15 @@
 					return standin.RawAnswer{Runs: true, Pieces: pieces, Close: true, Reset: reset}
 				})
 				ran := 0
-				for end = range head.bodyAt {
+				for cut := range head.bodyAt {
+					end.Store(int64(cut))
 					for i, entry := range f.hosts {
 						method, path := http.MethodPost, "/file/x"
-						if (end+i)%2 == 0 {
+						if (cut+i)%2 == 0 {
 							method, path = http.MethodGet, "/look/x"
 						}
 						r := entry.send(noKeepAliveClient, method, path, "")
-						g.Expect(r.Err == nil && r.Status < http.StatusBadRequest).To(BeFalse(), "broken off after %q: %s", head.text[:end], r)
+						g.Expect(r.Err == nil && r.Status < http.StatusBadRequest).To(BeFalse(), "broken off after %q: %s", head.text[:cut], r)
 						runs := len(f.worker.Runs())
 						g.Expect(r.NotRun() && runs > ran).To(BeFalse(), "%s has run", r)
 						ran = runs
@@ -82,7 +84,7 @@
 				if head.endsWithConnection && reset {
 					return // not even the whole answer is complete
 				}
-				end = len(head.text)
+				end.Store(int64(len(head.text)))
 				g.Eventually(func() reply { return f.hosts[1].send(noKeepAliveClient, http.MethodPost, "/file/x", "") }, eventualTimeout, pollInterval).Should(Satisfy(reply.Succeeded), "the whole answer")
 			})
 		}
