--- a/test/sidecar/largewrites_test.go
+++ b/test/sidecar/largewrites_test.go
@@ -10,7 +10,7 @@
 
 // Guards against many large writes by another writer that keep all nodes from following the store.
 func TestAConfigurationArrivesThoughAnotherWriterHasWrittenALot(t *testing.T) {
-	const writes = 7 // 9.8 MB in the response to a watch; a node reads 8 MiB
+	const writes = 16
 	g := NewWithT(t)
 	f := startFleet(t, defaultRoutes, "alpha", "alpha", "beta", "beta")
 	for round := range 3 {
