--- a/internal/httpserver/close.go
+++ b/internal/httpserver/close.go
@@ -1,7 +1,5 @@
 package httpserver
 
-import ()
-
 // decideClose decides whether the connection is closed after the response to e, which is about
 // to be written. If the response asks for it, no further request is begun, and the connection
 // is closed after the last one that was.
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/bronzemast/bronzemast/internal/connbudget"
 )
 
 const (
@@ -26,6 +28,8 @@
 type conn struct {
 	server *Server
 	rwc    net.Conn
+	// budget is charged for what the caller makes the connection hold; nil if there is none.
+	budget *connbudget.Conn
 	head   headReader
 	reader *bufio.Reader
 	// ctx ends when the connection is lost or closed.
@@ -50,7 +54,7 @@
 }
 
 func newConn(s *Server, rwc net.Conn) *conn {
-	c := &conn{server: s, rwc: rwc}
+	c := &conn{server: s, rwc: rwc, budget: connbudget.Of(rwc)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.changed.L = &c.mu
 	c.head.source = rwc
--- a/internal/httpserver/requestbody.go
+++ b/internal/httpserver/requestbody.go
@@ -25,7 +25,9 @@
 	if err := b.begin(); err != nil {
 		return 0, err
 	}
+	b.exchange.conn.budget.Wait()
 	n, err := b.source.Read(p)
+	b.exchange.conn.budget.Resume()
 	if err == io.EOF {
 		b.end()
 	}
--- a/internal/httpserver/schedule.go
+++ b/internal/httpserver/schedule.go
@@ -1,11 +1,12 @@
 package httpserver
 
-import ()
-
 // enqueue adds an exchange and begins it if possible.
 func (c *conn) enqueue(e *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.exchanges) == 0 {
+		c.budget.Resume() // has waited for a request
+	}
 	c.exchanges = append(c.exchanges, e)
 	c.schedule()
 }
@@ -73,6 +74,9 @@
 	if len(c.exchanges) > 0 && c.exchanges[0] == e {
 		c.exchanges[0] = nil
 		c.exchanges = c.exchanges[1:]
+		if len(c.exchanges) == 0 {
+			c.budget.Wait() // for the next request
+		}
 	}
 	if len(c.exchanges) > 0 {
 		c.releaseAhead(c.exchanges[0]) // none is before it any more
--- a/plugins/transport/setup.go
+++ b/plugins/transport/setup.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/http"
 	"net/netip"
 
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/finding"
+	"github.com/bronzemast/bronzemast/internal/connbudget"
 	"github.com/bronzemast/bronzemast/internal/jsonc"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
@@ -50,10 +52,13 @@
 	IdleTimeout jsonc.Duration `json:"idle_timeout"`
 	// MaxHeaderBytes bounds the size of the headers of a request.
 	MaxHeaderBytes int `json:"max_header_bytes"`
-	// MaxCallConnections and MaxPeerConnections bound the number of open
-	// connections of each listener; further ones wait in the listen queue.
+	// MaxCallConnections and MaxPeerConnections bound the number of open connections of each
+	// listener. For a further one, the connection that has been idle longest is closed.
 	MaxCallConnections int `json:"max_call_connections"`
 	MaxPeerConnections int `json:"max_peer_connections"`
+	// MemoryMB is the memory of the host that the process may use, in MB. Connections may take a
+	// part of it.
+	MemoryMB float64 `json:"memory_mb"`
 	// MaxConcurrentPerConnection bounds the pipelined requests of one caller's connection
 	// that are handled at the same time, and MaxConcurrentAhead those of all connections
 	// that are handled while an earlier one of their connection is.
@@ -92,9 +97,11 @@
 	callHandler http.Handler
 	callKeys    *keyPair
 	peerKeys    *keyPair
-	servers     []server
-	listeners   []net.Listener
-	dialer      net.Dialer
+	// budget bounds what the connections of both listeners take.
+	budget    *connbudget.Budget
+	servers   []server
+	listeners []net.Listener
+	dialer    net.Dialer
 }
 
 func newTransport() *Transport {
@@ -103,12 +110,14 @@
 			HeaderTimeout:      jsonc.Duration(defaultHeaderTimeout),
 			IdleTimeout:        jsonc.Duration(defaultIdleTimeout),
 			MaxHeaderBytes:     defaultMaxHeaderBytes,
-			MaxCallConnections: defaultMaxConnections,
-			MaxPeerConnections: defaultMaxConnections,
+			MaxCallConnections: defaultMaxCallConnections,
+			MaxPeerConnections: defaultMaxPeerConnections,
+			MemoryMB:           defaultMemoryMB,
 
 			MaxConcurrentPerConnection: defaultMaxConcurrentPerConnection,
 			MaxConcurrentAhead:         defaultMaxConcurrentAhead,
 		},
+		budget:      newBudget(defaultMemoryMB),
 		peerMux:     http.NewServeMux(),
 		callHandler: http.NotFoundHandler(),
 	}
@@ -119,11 +128,24 @@
 	t.doc = ctx.Settings(&t.settings)
 	t.host = ctx.Host()
 	t.log = ctx.Log()
+	t.budget = newBudget(t.settings.MemoryMB)
+	ctx.Metrics().Set("budget", expvar.Func(func() any { return t.budgetMetrics() }))
 	t.dialer.LocalAddr = sourceAddress(t.peerListenAddress())
 	kernel.Provide[model.Transport](ctx, t)
 	return nil
 }
 
+// budgetMetrics returns the state of the budget of connections.
+func (t *Transport) budgetMetrics() map[string]float64 {
+	stats := t.budget.Stats()
+	return map[string]float64{
+		"connections": float64(stats.Conns),
+		"bytes":       float64(stats.Bytes),
+		"closed":      float64(stats.Closed),
+		"refused":     float64(stats.Refused),
+	}
+}
+
 // Validate reads the key files and checks the limits.
 func (t *Transport) Validate(findings *finding.List) {
 	t.callKeys = t.loadKeys("call_keys", t.settings.CallKeys, findings)
@@ -140,6 +162,7 @@
 		jsonc.Positive{Field: "max_header_bytes", Value: float64(t.settings.MaxHeaderBytes)},
 		jsonc.Positive{Field: "max_call_connections", Value: float64(t.settings.MaxCallConnections)},
 		jsonc.Positive{Field: "max_peer_connections", Value: float64(t.settings.MaxPeerConnections)},
+		jsonc.Positive{Field: "memory_mb", Value: t.settings.MemoryMB},
 		jsonc.Positive{Field: "max_concurrent_per_connection", Value: float64(t.settings.MaxConcurrentPerConnection)},
 		jsonc.Positive{Field: "max_concurrent_ahead", Value: float64(t.settings.MaxConcurrentAhead)},
 		jsonc.Positive{Field: "header_timeout", Value: float64(t.settings.HeaderTimeout)},
--- a/plugins/transport/transport.go
+++ b/plugins/transport/transport.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/event"
+	"github.com/bronzemast/bronzemast/internal/connbudget"
 	"github.com/bronzemast/bronzemast/internal/httpserver"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
@@ -21,7 +22,16 @@
 	defaultHeaderTimeout  = 5 * time.Second
 	defaultIdleTimeout    = 2 * time.Minute
 	defaultMaxHeaderBytes = 64 << 10
-	defaultMaxConnections = 4096
+	// The default numbers of connections leave a third of the 4,000 descriptors of the smallest
+	// hosts for connections to targets, peers and the platform.
+	defaultMaxCallConnections = 1536
+	defaultMaxPeerConnections = 1024
+	// defaultMemoryMB is the memory of the smallest hosts.
+	defaultMemoryMB = 184
+	// clientMemoryShare is the share of the memory that connections may take: twice as much with
+	// what the garbage collector has not returned, and the node itself takes some 40 MB.
+	clientMemoryShare = 0.25
+	bytesPerMB        = 1_000_000
 	// defaultMaxConcurrentPerConnection keeps one caller from taking all slots of a target.
 	defaultMaxConcurrentPerConnection = 8
 	defaultMaxConcurrentAhead         = 64
@@ -93,6 +103,11 @@
 	return &net.TCPAddr{IP: parsed.Addr().AsSlice()}
 }
 
+// newBudget returns the budget of the connections of a node that may use memoryMB of memory.
+func newBudget(memoryMB float64) *connbudget.Budget {
+	return connbudget.New(int64(memoryMB * clientMemoryShare * bytesPerMB))
+}
+
 // server serves the requests of a listener.
 type server interface {
 	Serve(listener net.Listener) error
@@ -107,7 +122,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", address)
 	}
-	listener = limitListener(listener, limit)
+	listener = t.budget.Listen(listener, limit)
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
@@ -131,13 +146,15 @@
 			LogError:             func(message string) { _, _ = connectionLog{t.log}.Write([]byte(message)) }, // never fails
 		})
 	}
-	return &http.Server{
+	s := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: t.settings.HeaderTimeout.Std(),
 		IdleTimeout:       t.settings.IdleTimeout.Std(),
 		MaxHeaderBytes:    t.settings.MaxHeaderBytes,
 		ErrorLog:          log.New(connectionLog{t.log}, "", 0),
 	}
+	connbudget.Track(s)
+	return s
 }
 
 // connectionLog writes the error log of net/http as events.
