--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -17,6 +17,9 @@
 	// maxReadAhead bounds the requests of a connection that have been read and not
 	// answered, whether they were begun or not.
 	maxReadAhead = 32
+	// maxAheadBytes bounds the memory of the requests of a connection that have been read and
+	// not begun. Clients that send requests in a row send short heads.
+	maxAheadBytes = 256 << 10
 	// lingerTimeout is how long a connection with unread bytes stays open for reading
 	// after the last response. Closing it at once would reset it, and the caller might
 	// lose that response.
@@ -125,20 +128,35 @@
 // readExchange reads the head of a request. It returns nil if the connection is lost, and an
 // exchange that responds with an error if the request is invalid.
 func (c *conn) readExchange() *exchange {
+	memory := c.budget.NewReservation()
 	c.setReadDeadline(c.server.options.HeaderTimeout)
-	c.head.begin(c.reader, c.server.options.MaxHeaderBytes)
-	r, err := http.ReadRequest(c.reader)
-	head := c.head.end(c.reader)
+	r, err := c.readHead(c.server.options.MaxHeaderBytes, memory)
 	c.setReadDeadline(0)
 	if err == nil {
-		err = validate(r, head)
-	}
-	if err == nil {
-		return newExchange(c, r)
+		return newExchange(c, r, memory)
 	}
+	memory.Release()
 	if status := errorStatus(err); status != 0 {
 		return newErrorExchange(c, status)
 	}
 	c.abort()
 	return nil
 }
+
+// readHead reads and checks the head of a request, for which it reserves memory.
+func (c *conn) readHead(maxBytes int, memory *connbudget.Reservation) (*http.Request, error) {
+	err := c.head.begin(c.reader, maxBytes, memory)
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.ReadRequest(c.reader)
+	head := c.head.end(c.reader)
+	switch {
+	case err != nil:
+		return nil, err
+	case len(head) > maxBytes:
+		return nil, errHeadTooLong
+	default:
+		return r, validate(r, head)
+	}
+}
--- a/internal/httpserver/exchange.go
+++ b/internal/httpserver/exchange.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
+
+	"github.com/bronzemast/bronzemast/internal/connbudget"
 )
 
 // exchange is a request and its response. Its fields are guarded by the connection's mu,
@@ -25,11 +27,13 @@
 	bodyDone bool
 	// closesConn is set if the connection is closed after the response.
 	closesConn bool
+	// memory is reserved for the request and its response, until that has been written.
+	memory *connbudget.Reservation
 }
 
-func newExchange(c *conn, r *http.Request) *exchange {
+func newExchange(c *conn, r *http.Request, memory *connbudget.Reservation) *exchange {
 	r.RemoteAddr = c.rwc.RemoteAddr().String()
-	e := &exchange{conn: c, request: r, handler: c.server.handler}
+	e := &exchange{conn: c, request: r, handler: c.server.handler, memory: memory}
 	e.last = r.Close || !r.ProtoAtLeast(1, 1)
 	e.bodyDone = r.ContentLength == 0
 	if e.bodyDone {
@@ -39,11 +43,18 @@
 	return e
 }
 
+// noMemoryRetryAfter is the retry delay, in seconds, sent to callers for whose request there is no
+// memory: most requests are answered within it.
+const noMemoryRetryAfter = "1"
+
 // newErrorExchange returns an exchange that responds to a request that can't be read, and
 // closes the connection.
 func newErrorExchange(c *conn, status int) *exchange {
 	r := &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Body: http.NoBody}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", noMemoryRetryAfter)
+		}
 		http.Error(w, fmt.Sprintf("%d %s", status, http.StatusText(status)), status)
 	})
 	return &exchange{conn: c, request: r, handler: handler, last: true, bodyDone: true}
@@ -52,7 +63,7 @@
 // run calls the handler and completes the response. A panic aborts the connection, so that an
 // incomplete response can't be taken for a complete one.
 func (e *exchange) run() {
-	ctx, cancel := context.WithCancel(e.conn.ctx)
+	ctx, cancel := context.WithCancel(connbudget.NewContext(e.conn.ctx, e.memory))
 	defer cancel()
 	r := e.request.WithContext(ctx)
 	w := newResponse(e, r)
--- a/internal/httpserver/head.go
+++ b/internal/httpserver/head.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 
+	"github.com/bronzemast/bronzemast/internal/connbudget"
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
 )
@@ -19,6 +20,8 @@
 	recording bool
 	bytes     []byte
 	limit     int
+	// memory is reserved for the head.
+	memory *connbudget.Reservation
 }
 
 // errHeadTooLong is returned while the head of a request exceeds its limit.
@@ -27,13 +30,19 @@
 // maxKeptBytes is the capacity up to which the memory of a head is used again.
 const maxKeptBytes = 2 << 10
 
-// begin starts to record a head, which begins with what the buffer holds.
-func (h *headReader) begin(buffer *bufio.Reader, limit int) {
+// begin starts to record a head, which begins with what the buffer holds. It returns
+// connbudget.ErrNoMemory if there is no memory for that.
+func (h *headReader) begin(buffer *bufio.Reader, limit int, memory *connbudget.Reservation) error {
 	buffered, _ := buffer.Peek(buffer.Buffered()) // can't fail
 	h.recording = true
+	h.memory = memory
 	h.bytes = append(h.bytes[:0], buffered...)
 	// What follows the head may be read along with it, up to the size of the buffer.
 	h.limit = limit + readBufferBytes
+	if !h.memory.Grow(connbudget.HeadBytes(buffered)) {
+		return connbudget.ErrNoMemory
+	}
+	return nil
 }
 
 // end stops to record and returns the bytes of the head, without what has been read beyond it.
@@ -56,6 +65,9 @@
 		return 0, errHeadTooLong
 	}
 	n, err := h.source.Read(p[:min(len(p), h.limit-len(h.bytes))])
+	if !h.memory.Grow(connbudget.HeadBytes(p[:n])) {
+		return 0, connbudget.ErrNoMemory
+	}
 	h.bytes = append(h.bytes, p[:n]...)
 	return n, err
 }
@@ -126,6 +138,8 @@
 		return invalid.status
 	case errors.Is(err, errHeadTooLong):
 		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, connbudget.ErrNoMemory):
+		return http.StatusServiceUnavailable
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &connErr), errors.Is(err, os.ErrDeadlineExceeded):
 		return 0
 	default:
--- /dev/null
+++ b/internal/httpserver/limits_test.go
@@ -0,0 +1,67 @@
+package httpserver
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/bronzemast/bronzemast/internal/connbudget"
+)
+
+// startBudgeted serves a handler on a listener whose connections may take maxBytes of memory.
+func startBudgeted(t *testing.T, maxBytes int64, handler Handler) string {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(handler, testOptions())
+	listener := connbudget.New(maxBytes).Listen(inner, 100)
+	go func() { _ = s.Serve(listener) }() // ends with the listener
+	t.Cleanup(func() {
+		_ = s.Close()
+		_ = listener.Close() // nothing depends on the result
+	})
+	return inner.Addr().String()
+}
+
+func TestAHeadForWhichThereIsNoMemoryIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	address := startBudgeted(t, 20<<10, testHandler(echoPath))
+	caller := dial(t, address)
+	caller.send(t, "GET / HTTP/1.1\r\nHost: a.example\r\n"+strings.Repeat("a:\r\n", 100)+"\r\n")
+	response, _, err := caller.receive()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(response.Close).To(BeTrue())
+}
+
+// Each head is below what may be read ahead.
+func TestRequestsAreNotReadFarAheadIfTheirHeadsAreLarge(t *testing.T) {
+	g := NewWithT(t)
+	const requests, fields = 20, 1200
+	budget := connbudget.New(1 << 30)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	answer := make(chan struct{})
+	s := New(testHandler(func(http.ResponseWriter, *http.Request) { <-answer }), testOptions())
+	go func() { _ = s.Serve(budget.Listen(inner, 100)) }() // ends with the server
+	t.Cleanup(func() { _ = s.Close() })                    // nothing depends on the result
+	caller := dial(t, inner.Addr().String())
+	request := "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n" + strings.Repeat("a:\r\n", fields) + "\r\n"
+	go func() { _, _ = io.WriteString(caller, strings.Repeat(request, requests)) }() // blocks while none is read
+	charged := func() int64 { return budget.Stats().Bytes }
+	g.Eventually(charged, eventually).Should(BeNumerically(">", 2*maxAheadBytes))
+	g.Consistently(charged, 200*time.Millisecond).Should(BeNumerically("<", 4*maxAheadBytes))
+	close(answer)
+	for range requests {
+		_, _, err := caller.receive()
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
--- a/internal/httpserver/schedule.go
+++ b/internal/httpserver/schedule.go
@@ -16,12 +16,23 @@
 func (c *conn) awaitNext(e *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.lost && !c.closing && (!e.bodyDone || len(c.exchanges) >= maxReadAhead) {
+	for !c.lost && !c.closing && (!e.bodyDone || c.isFarAhead()) {
 		c.changed.Wait()
 	}
 	return !c.lost && !c.closing && !e.last
 }
 
+// isFarAhead reports whether as many requests have been read ahead as may be. The caller holds mu.
+func (c *conn) isFarAhead() bool {
+	var bytes int64
+	for _, e := range c.exchanges {
+		if !e.begun {
+			bytes += e.memory.Bytes()
+		}
+	}
+	return len(c.exchanges) >= maxReadAhead || bytes >= maxAheadBytes
+}
+
 // bodyInUse reports whether a handler may be reading a request's body. The caller holds mu.
 func (c *conn) bodyInUse() bool {
 	for _, e := range c.exchanges {
@@ -70,6 +81,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e.bodyDone = true
+	e.memory.Release()
 	c.releaseAhead(e)
 	if len(c.exchanges) > 0 && c.exchanges[0] == e {
 		c.exchanges[0] = nil
