--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -65,3 +66,21 @@
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 }
+
+func TestABodyHasADeadlineIfTheHandlerSetsOne(t *testing.T) {
+	g := NewWithT(t)
+	failed := make(chan error, 1)
+	_, address := start(t, testOptions(), testHandler(func(w http.ResponseWriter, r *http.Request) {
+		g.Expect(http.NewResponseController(w).SetReadDeadline(time.Now().Add(time.Millisecond))).To(Succeed())
+		_, err := io.ReadAll(r.Body)
+		failed <- err
+		w.WriteHeader(http.StatusRequestTimeout)
+	}))
+	caller := dial(t, address)
+	caller.send(t, "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 10\r\n\r\nbody")
+	response, _, err := caller.receive()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.StatusCode).To(Equal(http.StatusRequestTimeout))
+	g.Expect(response.Close).To(BeTrue(), "the rest of the body would be taken for a request")
+	g.Expect(<-failed).To(MatchError(os.ErrDeadlineExceeded))
+}
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -58,6 +58,12 @@
 	return w.exchange.conn.rwc.SetWriteDeadline(deadline)
 }
 
+// SetReadDeadline sets the time after which reads of the request's body fail, for
+// http.ResponseController. It ends with the body.
+func (w *response) SetReadDeadline(deadline time.Time) error {
+	return w.exchange.conn.rwc.SetReadDeadline(deadline)
+}
+
 // AwaitTurn waits until all earlier responses of the connection have been written, so that WriteHeader
 // does not block. It returns false if the connection is lost, and true at once for a ResponseWriter
 // that is not of this package.
--- a/model/outcome.go
+++ b/model/outcome.go
@@ -89,7 +89,11 @@
 	// target's host is full.
 	ReasonLinkFull Reason = "link-full"
 	// ReasonEvacuated is a target in a failure domain that an operator evacuates.
-	ReasonEvacuated   Reason = "evacuated"
+	ReasonEvacuated Reason = "evacuated"
+	// ReasonNoMemory is a request for which the node has no memory left.
+	ReasonNoMemory Reason = "no-memory"
+	// ReasonSlowCaller is a request of which the caller has not sent the whole body in time.
+	ReasonSlowCaller  Reason = "slow-caller"
 	ReasonPeerLost    Reason = "peer-lost"
 	ReasonRetryBudget Reason = "retry-budget"
 )
--- a/plugins/sidecar/accept.go
+++ b/plugins/sidecar/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -17,12 +18,15 @@
 	// staleRetryAfter is the retry delay sent to callers while the configuration is too
 	// old: the time of two further attempts to refresh it.
 	staleRetryAfter = 500 * time.Millisecond
+	// noMemoryRetryAfter is the retry delay sent to callers for whose request there is no memory:
+	// most requests are answered within it.
+	noMemoryRetryAfter = time.Second
 )
 
 // accept reads a request and matches it to a route. It returns a local reply if there is
 // no configuration, it is too old or has no route for the request, the node is draining, or
 // the body cannot be read or exceeds its limit.
-func (e *entry) accept(r *http.Request) (*call, *model.LocalReply) {
+func (e *entry) accept(w http.ResponseWriter, r *http.Request) (*call, *model.LocalReply) {
 	head := e.exchange.ParseRequest(r.Header)
 	localReply := func(reason model.Reason) *model.LocalReply {
 		return &model.LocalReply{ID: head.ID, Outcome: model.OutcomeNotRun, Reason: reason}
@@ -56,13 +60,11 @@
 	c.service = e.splitter.Choose(route)
 	c.configuration = table.Number
 	var err error
-	c.body, err = readBody(r.Body, r.ContentLength, table.BodyLimit(route))
-	switch {
-	case errors.Is(err, errBodyTooLarge):
-		return nil, localReply(model.ReasonTooLarge)
-	case err != nil:
-		return nil, localReply(model.ReasonBadRequest)
-	case !e.admits(c): // reading the body took until now
+	c.body, err = readCallerBody(w, r, table.BodyLimit(route), c.deadline)
+	if err != nil {
+		return nil, bodyErrorReply(head.ID, err)
+	}
+	if !e.admits(c) { // reading the body took until now
 		c.body.close()
 		return nil, drainingReply()
 	}
@@ -70,6 +72,31 @@
 	return c, nil
 }
 
+// readCallerBody reads the body of a caller's request until the deadline at the latest. The rest of a
+// body that is streamed has the same deadline.
+func readCallerBody(w http.ResponseWriter, r *http.Request, maxBytes int64, deadline time.Time) (*messageBody, error) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(deadline) // a lost connection fails anyway
+	}
+	return readBody(r.Body, requestLimits(r, maxBytes))
+}
+
+// bodyErrorReply returns the reply to a request whose body could not be read. The request has not been
+// passed on.
+func bodyErrorReply(id string, err error) *model.LocalReply {
+	reply := &model.LocalReply{ID: id, Outcome: model.OutcomeNotRun, Reason: model.ReasonBadRequest}
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		reply.Reason = model.ReasonTooLarge
+	case errors.Is(err, errNoMemory):
+		reply.Reason = model.ReasonNoMemory
+		reply.RetryAfter = noMemoryRetryAfter
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		reply.Reason = model.ReasonSlowCaller
+	}
+	return reply
+}
+
 // admits reports whether a call is accepted while the node may be draining.
 func (e *entry) admits(c *call) bool {
 	return e.drain.admits(e.stats.nested(c.route.Name), c.deadline)
--- a/plugins/sidecar/body.go
+++ b/plugins/sidecar/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"github.com/bronzemast/bronzemast/internal/connbudget"
 	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/pkg/errors"
 )
@@ -32,43 +33,114 @@
 // errBodyTooLarge is returned for a body that exceeds its limit.
 var errBodyTooLarge = errors.New("the body exceeds the size limit")
 
+// errNoMemory is returned for a body for which there is no memory.
+var errNoMemory = errors.New("no memory is left for the body")
+
+const (
+	// unknownLengthBuffer is the size of the first buffer for a body of unknown length, and
+	// requestBuffer the largest first buffer for the body of a request, in bytes: callers may
+	// declare a length and send nothing.
+	unknownLengthBuffer = 4 << 10
+	requestBuffer       = 16 << 10
+)
+
+// bodyLimits bounds a body.
+type bodyLimits struct {
+	// length is the declared length, -1 if it is unknown.
+	length int64
+	// max is the largest length, 0 if there is no limit. A longer body fails with errBodyTooLarge,
+	// in readBody or while it is streamed.
+	max int64
+	// firstBuffer is the size of the first buffer in bytes.
+	firstBuffer int
+	// reserve reserves memory. It returns false if there is none.
+	reserve func(bytes int64) bool
+}
+
+// requestLimits returns the limits of the body of a request, whose memory is reserved.
+func requestLimits(r *http.Request, maxBytes int64) bodyLimits {
+	limits := bodyLimits{length: r.ContentLength, max: maxBytes, reserve: connbudget.FromContext(r.Context()).Grow}
+	limits.firstBuffer = min(limits.wholeBuffer(), requestBuffer)
+	return limits
+}
+
+// answerLimits returns the limits of the body of an answer.
+func answerLimits(response *http.Response, method string) bodyLimits {
+	limits := bodyLimits{length: answerLength(response, method), reserve: func(int64) bool { return true }}
+	limits.firstBuffer = limits.wholeBuffer()
+	return limits
+}
+
+// wholeBuffer returns the size of a buffer that holds the whole body and shows that it ends, if its
+// length is known.
+func (l bodyLimits) wholeBuffer() int {
+	if l.length < 0 {
+		return unknownLengthBuffer
+	}
+	return int(l.length) + 1
+}
+
 // readBody reads a body and buffers up to maxBufferedBytes of it; a longer one is streamed.
-// length is the declared length, -1 if unknown. A body above limit bytes fails with
-// errBodyTooLarge, here or while it is streamed; 0 means no limit.
-func readBody(body io.ReadCloser, length, limit int64) (*messageBody, error) {
-	if limit > 0 && length > limit {
+func readBody(body io.ReadCloser, limits bodyLimits) (*messageBody, error) {
+	length := limits.length
+	if limits.max > 0 && length > limits.max {
 		return nil, errBodyTooLarge
 	}
 	if length == 0 || body == nil || body == http.NoBody {
 		return &messageBody{}, nil
 	}
 	if length > maxBufferedBytes {
-		return readPrefix(body, length)
-	}
-	var buffer bytes.Buffer
-	if length > 0 {
-		buffer.Grow(int(length) + bytes.MinRead)
+		return readPrefix(body, limits)
 	}
-	n, err := buffer.ReadFrom(io.LimitReader(body, maxBufferedBytes+1))
+	data, err := readBuffered(body, limits)
 	if err != nil {
 		return nil, err
 	}
+	n := int64(len(data))
 	if n > maxBufferedBytes {
-		return &messageBody{data: buffer.Bytes(), rest: limitBody(body, limit-n, limit > 0), length: -1}, nil
+		return &messageBody{data: data, rest: limitBody(body, limits.max-n, limits.max > 0), length: -1}, nil
 	}
-	if limit > 0 && n > limit {
+	if limits.max > 0 && n > limits.max {
 		return nil, errBodyTooLarge
 	}
-	return &messageBody{data: buffer.Bytes(), length: n}, nil
+	return &messageBody{data: data, length: n}, nil
+}
+
+// readBuffered reads a body until its end, or until it has more than maxBufferedBytes. The buffer
+// grows with what arrives.
+func readBuffered(body io.Reader, limits bodyLimits) ([]byte, error) {
+	const maxBytes = maxBufferedBytes + 1 // shows that the body does not end
+	var data []byte
+	for len(data) < maxBytes {
+		if len(data) == cap(data) {
+			size := min(max(2*cap(data), limits.firstBuffer), maxBytes)
+			if !limits.reserve(int64(size - cap(data))) {
+				return nil, errNoMemory
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		n, err := body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err == io.EOF {
+			return data, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return data, nil
 }
 
 // readPrefix reads the beginning of a body that is to be streamed.
-func readPrefix(body io.ReadCloser, length int64) (*messageBody, error) {
+func readPrefix(body io.ReadCloser, limits bodyLimits) (*messageBody, error) {
+	if !limits.reserve(streamPrefixBytes) {
+		return nil, errNoMemory
+	}
 	prefix := make([]byte, streamPrefixBytes)
 	if _, err := io.ReadFull(body, prefix); err != nil {
 		return nil, err
 	}
-	return &messageBody{data: prefix, rest: body, length: length}, nil
+	return &messageBody{data: prefix, rest: body, length: limits.length}, nil
 }
 
 // limitBody returns a body that fails with errBodyTooLarge once more than remaining bytes
--- a/plugins/sidecar/entry.go
+++ b/plugins/sidecar/entry.go
@@ -88,7 +88,7 @@
 	if e.drain.draining() {
 		w.Header()["Connection"] = []string{"close"}
 	}
-	c, reply := e.accept(r)
+	c, reply := e.accept(w, r)
 	if reply != nil {
 		rejected = true
 		status := e.writeLocalReply(w, reply)
--- a/plugins/sidecar/targetreport.go
+++ b/plugins/sidecar/targetreport.go
@@ -33,7 +33,7 @@
 	}
 	r.peer.recordAnswer()
 	switch a.Reason {
-	case model.ReasonUnreachable, model.ReasonNoTarget, model.ReasonEvacuated:
+	case model.ReasonUnreachable, model.ReasonNoTarget, model.ReasonEvacuated, model.ReasonNoMemory:
 		r.startCooldown(now)
 	default:
 		r.cooldown, r.cooldownUntil = 0, time.Time{}
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -16,6 +16,7 @@
 	"github.com/bronzemast/bronzemast/plugins/sidecar/nesting"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/slotqueue"
 	"github.com/bronzemast/bronzemast/plugins/sidecar/uplink"
+	"github.com/pkg/errors"
 )
 
 // targetSide is the inbound role of the node beside a target. All requests to the target
@@ -208,9 +209,13 @@
 		h.sender = parseHost(host)
 		s.replica.ObservePosition(net.JoinHostPort(host, s.peerPort), h.position())
 	}
-	body, err := readBody(r.Body, r.ContentLength, 0)
+	body, err := s.readRequest(w, r, h)
+	if errors.Is(err, errNoMemory) {
+		s.writeAnswer(w, r, h, s.noMemoryAnswer(h), received)
+		return
+	}
 	if err != nil {
-		return // the sender has disconnected
+		return // the sender has disconnected, or stopped before the end of the body
 	}
 	if !body.buffered() {
 		// Otherwise net/http discards what is left of the body before it writes the response,
@@ -220,6 +225,32 @@
 	a := s.handle(r.Context(), h, forwardedHeaders(r.Header), body)
 	defer a.close()
 	rejected = a.Reason == model.ReasonDraining
+	s.writeAnswer(w, r, h, a, received)
+}
+
+// readRequest reads the body of a request from another node, until its deadline at the latest.
+func (s *targetSide) readRequest(w http.ResponseWriter, r *http.Request, h *handover) (*messageBody, error) {
+	if r.ContentLength == 0 {
+		return &messageBody{}, nil
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.Remaining)) // a lost connection fails anyway
+	return readBody(r.Body, requestLimits(r, 0))
+}
+
+// noMemoryAnswer returns the answer of a request for whose body there is no memory.
+func (s *targetSide) noMemoryAnswer(h *handover) *answer {
+	a := notRunAnswer(model.ReasonNoMemory)
+	a.RetryAfter = noMemoryRetryAfter
+	if inst, _ := s.instanceOf(h); inst != nil {
+		a.Load = inst.load()
+		a.Load.Leaving = s.drain.closed()
+		a.announced = inst.state()
+	}
+	return a
+}
+
+// writeAnswer writes the answer to a request from another node.
+func (s *targetSide) writeAnswer(w http.ResponseWriter, r *http.Request, h *handover, a *answer, received time.Time) {
 	a.Version = handoverVersion
 	position := s.replica.Position()
 	a.Revision = position.Revision
