--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -64,6 +64,16 @@
 	return w.exchange.conn.rwc.SetReadDeadline(deadline)
 }
 
+// callerWriter writes to the caller of a connection, which may not read.
+type callerWriter conn
+
+// Write implements io.Writer.
+func (w *callerWriter) Write(p []byte) (int, error) {
+	w.budget.Wait()
+	defer w.budget.Resume()
+	return w.rwc.Write(p)
+}
+
 // AwaitTurn waits until all earlier responses of the connection have been written, so that WriteHeader
 // does not block. It returns false if the connection is lost, and true at once for a ResponseWriter
 // that is not of this package.
@@ -83,7 +93,7 @@
 		return
 	}
 	w.writer = writers.Get().(*bufio.Writer)
-	w.writer.Reset(w.exchange.conn.rwc)
+	w.writer.Reset((*callerWriter)(w.exchange.conn))
 	if !w.writeDeadline.IsZero() {
 		_ = w.SetWriteDeadline(w.writeDeadline) // a closed connection fails the next write anyway
 	}
@@ -221,5 +231,8 @@
 	w.writer = nil
 }
 
-// Interface guard.
-var _ http.ResponseWriter = (*response)(nil)
+// Interface guards.
+var (
+	_ http.ResponseWriter = (*response)(nil)
+	_ io.Writer           = (*callerWriter)(nil)
+)
--- a/plugins/sidecar/body.go
+++ b/plugins/sidecar/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 
@@ -64,9 +65,14 @@
 	return limits
 }
 
-// answerLimits returns the limits of the body of an answer.
-func answerLimits(response *http.Response, method string) bodyLimits {
-	limits := bodyLimits{length: answerLength(response, method), reserve: func(int64) bool { return true }}
+// answerLimits returns the limits of the body of an answer. The request has run, so that its answer
+// is kept whatever memory is left.
+func answerLimits(ctx context.Context, response *http.Response, method string) bodyLimits {
+	reservation := connbudget.FromContext(ctx)
+	limits := bodyLimits{length: answerLength(response, method), reserve: func(bytes int64) bool {
+		reservation.Charge(bytes)
+		return true
+	}}
 	limits.firstBuffer = limits.wholeBuffer()
 	return limits
 }
--- a/plugins/sidecar/healthcheck.go
+++ b/plugins/sidecar/healthcheck.go
@@ -97,7 +97,7 @@
 		return model.HealthHead{}, err
 	}
 	defer func() { _ = response.Body.Close() }() // only the header is needed
-	if _, err := readBody(response.Body, answerLimits(response, http.MethodGet)); err != nil {
+	if _, err := readBody(response.Body, answerLimits(ctx, response, http.MethodGet)); err != nil {
 		return model.HealthHead{}, err
 	}
 	head, ok := s.exchange.ParseHealth(response.Header)
--- a/plugins/sidecar/sender.go
+++ b/plugins/sidecar/sender.go
@@ -157,7 +157,7 @@
 		_ = response.Body.Close() // the response is unusable
 		return peerFailure(ctx, &httpconn.Error{Sent: true, Err: err})
 	}
-	body, err := readBody(response.Body, answerLimits(response, method))
+	body, err := readBody(response.Body, answerLimits(ctx, response, method))
 	if err != nil {
 		_ = response.Body.Close() // the body was cut off
 		lost := peerFailure(ctx, &httpconn.Error{Sent: true, Err: err})
--- a/plugins/sidecar/targetcall.go
+++ b/plugins/sidecar/targetcall.go
@@ -131,7 +131,7 @@
 	}
 	s.observeLoad(inst, head)
 	s.unknownHeaders.Record(head.UnknownHeaders)
-	body, err := readBody(response.Body, answerLimits(response, h.Method))
+	body, err := readBody(response.Body, answerLimits(ctx, response, h.Method))
 	if err != nil {
 		_ = response.Body.Close() // the body was cut off
 		return s.connectionLost(ctx, inst, h, &httpconn.Error{Sent: true, Err: err})
