--- a/plugins/metrics/setup.go
+++ b/plugins/metrics/setup.go
@@ -5,15 +5,13 @@
 import (
 	"context"
 	"expvar"
-	"net"
 	"net/http"
 	"net/netip"
-	"time"
 
 	"github.com/bronzemast/bronzemast/finding"
+	"github.com/bronzemast/bronzemast/internal/auxserver"
 	"github.com/bronzemast/bronzemast/internal/jsonc"
 	"github.com/bronzemast/bronzemast/kernel"
-	"github.com/pkg/errors"
 )
 
 func init() {
@@ -27,8 +25,6 @@
 const (
 	// path is the URL path of the metrics.
 	path = "/metrics"
-	// headerTimeout bounds the time for reading the headers of a request.
-	headerTimeout = 2 * time.Second
 	// contentType is the content type of the Prometheus text format.
 	contentType = "text/plain; version=0.0.4; charset=utf-8"
 )
@@ -70,13 +66,13 @@
 	if m.settings.Address == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp", m.settings.Address)
+	listener, err := auxserver.Listen(m.settings.Address)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", m.settings.Address)
+		return err
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, m.serve)
-	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	m.server = auxserver.New(mux)
 	go func() { _ = m.server.Serve(listener) }() // ends with ErrServerClosed at Stop
 	return nil
 }
--- a/plugins/operator/setup.go
+++ b/plugins/operator/setup.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/finding"
+	"github.com/bronzemast/bronzemast/internal/auxserver"
 	"github.com/bronzemast/bronzemast/internal/jsonc"
 	"github.com/bronzemast/bronzemast/kernel"
 	"github.com/bronzemast/bronzemast/model"
@@ -23,9 +23,6 @@
 	defaultAddress = "127.0.0.1:7070"
 	defaultEvents  = 512
 	maxEvents      = 65536
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = time.Minute
-	maxHeaderBytes = 16 << 10
 )
 
 func init() {
@@ -130,16 +127,11 @@
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", o.settings.Address)
+	listener, err := auxserver.Listen(o.settings.Address)
 	if err != nil {
 		return errors.Wrap(err, "open operator address")
 	}
-	o.server = &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	o.server = auxserver.New(handler)
 	o.setBoundAddress(listener.Addr().String())
 	o.ctx.Go("serve", func(context.Context) { o.serve(listener) })
 	o.ctx.Log().Emit(eventServing, event.Fields{"address": o.Address()})
