--- a/plugins/forwarding/targetside.go
+++ b/plugins/forwarding/targetside.go
@@ -99,6 +99,9 @@
 	if reply := t.register(in); reply != nil {
 		return reply
 	}
+	if in.request.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(in.deadline) // a lost connection fails anyway
+	}
 	return t.run(w, in)
 }
 
--- a/plugins/sidecar/targetside.go
+++ b/plugins/sidecar/targetside.go
@@ -228,13 +228,20 @@
 	s.writeAnswer(w, r, h, a, received)
 }
 
-// readRequest reads the body of a request from another node, until its deadline at the latest.
+// readRequest reads the body of a request from another node, until its deadline at the latest. The read
+// deadline remains only while there is more to read: afterwards net/http takes an expired one for a
+// sender that has disconnected.
 func (s *targetSide) readRequest(w http.ResponseWriter, r *http.Request, h *handover) (*messageBody, error) {
 	if r.ContentLength == 0 {
 		return &messageBody{}, nil
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.Remaining)) // a lost connection fails anyway
-	return readBody(r.Body, requestLimits(r, 0))
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(h.Remaining)) // a lost connection fails anyway
+	body, err := readBody(r.Body, requestLimits(r, 0))
+	if err == nil && body.buffered() {
+		_ = control.SetReadDeadline(time.Time{}) // as above
+	}
+	return body, err
 }
 
 // noMemoryAnswer returns the answer of a request for whose body there is no memory.
--- a/plugins/transport/transport.go
+++ b/plugins/transport/transport.go
@@ -32,6 +32,8 @@
 	// what the garbage collector has not returned, and the node itself takes some 40 MB.
 	clientMemoryShare = 0.25
 	bytesPerMB        = 1_000_000
+	// bodyTimeout bounds the time to read the body of a request whose handler sets no deadline.
+	bodyTimeout = 10 * time.Second
 	// defaultMaxConcurrentPerConnection keeps one caller from taking all slots of a target.
 	defaultMaxConcurrentPerConnection = 8
 	defaultMaxConcurrentAhead         = 64
@@ -147,7 +149,7 @@
 		})
 	}
 	s := &http.Server{
-		Handler:           handler,
+		Handler:           limitBodyTime(handler, bodyTimeout),
 		ReadHeaderTimeout: t.settings.HeaderTimeout.Std(),
 		IdleTimeout:       t.settings.IdleTimeout.Std(),
 		MaxHeaderBytes:    t.settings.MaxHeaderBytes,
@@ -157,6 +159,17 @@
 	return s
 }
 
+// limitBodyTime bounds the time to read the body of a request. net/http does not: a body that stops
+// holds its connection while the rest of it is discarded. A handler may set another read deadline.
+func limitBodyTime(handler http.Handler, timeout time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout)) // a lost connection fails anyway
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // connectionLog writes the error log of net/http as events.
 type connectionLog struct {
 	log *event.Log
--- a/plugins/transport/transport_test.go
+++ b/plugins/transport/transport_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -210,6 +211,21 @@
 	}
 }
 
+// The handler does not read the body, and the rest of it never arrives.
+func TestABodyThatStopsEndsItsConnection(t *testing.T) {
+	g := NewWithT(t)
+	s := httptest.NewServer(limitBodyTime(http.NotFoundHandler(), time.Millisecond))
+	defer s.Close()
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: node\r\nContent-Length: 10\r\n\r\nbody")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(conn.SetReadDeadline(time.Now().Add(10*time.Second))).To(Succeed())
+	_, err = io.ReadAll(conn)
+	g.Expect(err).NotTo(HaveOccurred(), "the server closes the connection")
+}
+
 func TestKeyFilesWithOlderModificationTimeAreReloaded(t *testing.T) {
 	g := NewWithT(t)
 	dir := t.TempDir()
--- a/test/clients/otheraddress_test.go
+++ b/test/clients/otheraddress_test.go
@@ -15,6 +15,7 @@
 	addresses := map[string]func(h *sidecarfleet.Host) string{
 		"readiness": (*sidecarfleet.Host).ReadyAddress,
 		"metrics":   (*sidecarfleet.Host).MetricsAddress,
+		"peers":     func(h *sidecarfleet.Host) string { return h.Host.PeerAddress },
 	}
 	get := "GET /v1/ready HTTP/1.1\r\nHost: node\r\n"
 	crowds := map[string]crowd{
