--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -112,7 +112,7 @@
 	case len(c.exchanges) > 0:
 		c.setReadDeadline(0)
 	default:
-		c.setReadDeadline(c.server.options.IdleTimeout)
+		c.setReadDeadline(c.server.limits().IdleTimeout)
 	}
 }
 
@@ -128,9 +128,10 @@
 // readExchange reads the head of a request. It returns nil if the connection is lost, and an
 // exchange that responds with an error if the request is invalid.
 func (c *conn) readExchange() *exchange {
+	limits := c.server.limits()
 	memory := c.budget.NewReservation()
-	c.setReadDeadline(c.server.options.HeaderTimeout)
-	r, err := c.readHead(c.server.options.MaxHeaderBytes, memory)
+	c.setReadDeadline(limits.HeaderTimeout)
+	r, err := c.readHead(limits.MaxHeaderBytes, memory)
 	c.setReadDeadline(0)
 	if err == nil {
 		return newExchange(c, r, memory)
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -14,6 +14,15 @@
 	"github.com/bronzemast/bronzemast/internal/connbudget"
 )
 
+// limitedHandler has limits of its own.
+type limitedHandler struct {
+	testHandler
+	limits Limits
+}
+
+// Limits implements Handler.
+func (h limitedHandler) Limits() Limits { return h.limits }
+
 // startBudgeted serves a handler on a listener whose connections may take maxBytes of memory.
 func startBudgeted(t *testing.T, maxBytes int64, handler Handler) string {
 	t.Helper()
@@ -31,6 +40,35 @@
 	return inner.Addr().String()
 }
 
+func TestLimitsOfTheHandlerTakeThePlaceOfTheOptions(t *testing.T) {
+	long := "GET / HTTP/1.1\r\nHost: a.example\r\nA: " + strings.Repeat("a", 2000) + "\r\n\r\n"
+	for name, c := range map[string]struct {
+		limits Limits
+		text   string
+		status int
+	}{
+		"none":              {Limits{}, long, 200},
+		"of the head":       {Limits{MaxHeaderBytes: 1000}, long, 431},
+		"a higher one":      {Limits{MaxHeaderBytes: 3000}, long, 200},
+		"time for the head": {Limits{HeaderTimeout: time.Millisecond}, "GET / HTTP/1.1\r\n", 0},
+		"idle time":         {Limits{IdleTimeout: time.Millisecond}, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, address := start(t, testOptions(), limitedHandler{testHandler: echoPath, limits: c.limits})
+			caller := dial(t, address)
+			caller.send(t, c.text)
+			response, _, err := caller.receive()
+			if c.status == 0 {
+				g.Expect(err).To(HaveOccurred(), "the connection is closed")
+				return
+			}
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(response.StatusCode).To(Equal(c.status))
+		})
+	}
+}
+
 func TestAHeadForWhichThereIsNoMemoryIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	address := startBudgeted(t, 20<<10, testHandler(echoPath))
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -19,16 +20,25 @@
 	// Concurrent reports whether a request without a body may be handled while earlier
 	// requests of its connection are. It must not keep the request.
 	Concurrent(r *http.Request) bool
+	// Limits returns the limits of callers that are in force now. Those that are 0 are taken
+	// from the server's options.
+	Limits() Limits
 }
 
-// Options holds the limits of a server. All must be positive.
-type Options struct {
+// Limits bound what a caller may send, and how long it may take.
+type Limits struct {
 	// HeaderTimeout bounds the time to read the head of a request, and IdleTimeout the
 	// time without requests after which a connection is closed.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 	// MaxHeaderBytes bounds the head of a request.
 	MaxHeaderBytes int
+}
+
+// Options configure a server. All numbers must be positive.
+type Options struct {
+	// Limits apply where the handler has none.
+	Limits
 	// MaxConcurrentPerConn bounds the requests of one connection that are handled at the
 	// same time. With 1, pipelined requests are handled one after the other.
 	MaxConcurrentPerConn int
@@ -39,6 +49,15 @@
 	LogError func(message string)
 }
 
+// or returns the limits with those that are 0 taken from defaults.
+func (l Limits) or(defaults Limits) Limits {
+	return Limits{
+		HeaderTimeout:  cmp.Or(l.HeaderTimeout, defaults.HeaderTimeout),
+		IdleTimeout:    cmp.Or(l.IdleTimeout, defaults.IdleTimeout),
+		MaxHeaderBytes: cmp.Or(l.MaxHeaderBytes, defaults.MaxHeaderBytes),
+	}
+}
+
 // Server serves the connections of its listeners until it is shut down. Its methods are safe
 // for concurrent use.
 type Server struct {
@@ -90,6 +109,11 @@
 	}
 }
 
+// limits returns the limits of callers that are in force now.
+func (s *Server) limits() Limits {
+	return s.handler.Limits().or(s.options.Limits)
+}
+
 // isTransient reports whether Accept may succeed later.
 func isTransient(err error) bool {
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -27,11 +27,12 @@
 // Concurrent implements Handler.
 func (h testHandler) Concurrent(r *http.Request) bool { return r.Method == http.MethodGet }
 
+// Limits implements Handler.
+func (h testHandler) Limits() Limits { return Limits{} }
+
 func testOptions() Options {
 	return Options{
-		HeaderTimeout:        time.Minute,
-		IdleTimeout:          time.Minute,
-		MaxHeaderBytes:       8 << 10,
+		Limits:               Limits{HeaderTimeout: time.Minute, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10},
 		MaxConcurrentPerConn: 8,
 		MaxConcurrentAhead:   64,
 		LogError:             func(string) {},
--- a/plugins/sidecar/accept.go
+++ b/plugins/sidecar/accept.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/config/ingress"
+	"github.com/bronzemast/bronzemast/internal/httpserver"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
 )
@@ -114,6 +115,19 @@
 	return route != nil && route.Idempotent
 }
 
+// Limits returns the limits of callers in the configuration. It implements httpserver.Handler.
+func (e *entry) Limits() httpserver.Limits {
+	table := e.replica.Table()
+	if table == nil {
+		return httpserver.Limits{}
+	}
+	return httpserver.Limits{
+		HeaderTimeout:  table.Limits.HeaderTimeout,
+		IdleTimeout:    table.Limits.IdleTimeout,
+		MaxHeaderBytes: table.Limits.MaxHeaderBytes,
+	}
+}
+
 // newCall returns the call for a request whose body has not been read yet and that has no service
 // yet. Its deadline is the earlier of the caller's deadline and the route's timeout.
 func (e *entry) newCall(r *http.Request, head model.RequestHead, target string, route *ingress.Route) *call {
--- a/plugins/transport/transport.go
+++ b/plugins/transport/transport.go
@@ -140,9 +140,11 @@
 func (t *Transport) newServer(handler http.Handler, encrypted bool) server {
 	if concurrent, ok := handler.(httpserver.Handler); ok && !encrypted {
 		return httpserver.New(concurrent, httpserver.Options{
-			HeaderTimeout:        t.settings.HeaderTimeout.Std(),
-			IdleTimeout:          t.settings.IdleTimeout.Std(),
-			MaxHeaderBytes:       t.settings.MaxHeaderBytes,
+			Limits: httpserver.Limits{
+				HeaderTimeout:  t.settings.HeaderTimeout.Std(),
+				IdleTimeout:    t.settings.IdleTimeout.Std(),
+				MaxHeaderBytes: t.settings.MaxHeaderBytes,
+			},
 			MaxConcurrentPerConn: t.settings.MaxConcurrentPerConnection,
 			MaxConcurrentAhead:   t.settings.MaxConcurrentAhead,
 			LogError:             func(message string) { _, _ = connectionLog{t.log}.Write([]byte(message)) }, // never fails
--- a/plugins/transport/transport_test.go
+++ b/plugins/transport/transport_test.go
@@ -221,7 +221,7 @@
 	defer conn.Close()
 	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: node\r\nContent-Length: 10\r\n\r\nbody")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(conn.SetReadDeadline(time.Now().Add(10*time.Second))).To(Succeed())
+	g.Expect(conn.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 	_, err = io.ReadAll(conn)
 	g.Expect(err).NotTo(HaveOccurred(), "the server closes the connection")
 }
