--- a/plugins/transport/transport.go
+++ b/plugins/transport/transport.go
@@ -14,6 +14,7 @@
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/internal/connbudget"
 	"github.com/bronzemast/bronzemast/internal/httpserver"
+	"github.com/bronzemast/bronzemast/internal/resetconn"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
 )
@@ -66,7 +67,7 @@
 
 // DialPeer implements model.Transport.
 func (t *Transport) DialPeer(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := t.dialer.DialContext(ctx, "tcp", address)
+	conn, err := dial(ctx, &t.dialer, address)
 	if err != nil || t.peerKeys == nil {
 		return conn, err
 	}
@@ -80,18 +81,21 @@
 
 // DialTarget implements model.Transport.
 func (t *Transport) DialTarget(ctx context.Context, address string) (net.Conn, error) {
-	return dialPlain(ctx, address)
+	return dial(ctx, &net.Dialer{}, address)
 }
 
 // DialPlatform implements model.Transport.
 func (t *Transport) DialPlatform(ctx context.Context, address string) (net.Conn, error) {
-	return dialPlain(ctx, address)
+	return dial(ctx, &net.Dialer{}, address)
 }
 
-// dialPlain opens a connection without TLS.
-func dialPlain(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", address)
+// dial opens a connection without TLS, whose end can be told from its reset.
+func dial(ctx context.Context, dialer *net.Dialer, address string) (net.Conn, error) {
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return resetconn.New(conn), nil
 }
 
 // sourceAddress returns the local address for connections to peers, so that peers and
