--- a/internal/httpconn/headlimit.go
+++ b/internal/httpconn/headlimit.go
@@ -12,16 +12,21 @@
 // ErrHeadTooLong is returned when the head of a response exceeds maxHeadBytes.
 var ErrHeadTooLong = errors.New("the head of the response is too long")
 
-// headLimiter is a reader that bounds what is read while a head is read. Bytes of a body that
-// are buffered along with its head count as well, up to the size of the buffer.
+// headLimiter is a reader that bounds and scans what is read while a head is read. Bytes of a body
+// that are buffered along with its head count as well, up to the size of the buffer.
 type headLimiter struct {
 	io.Reader
 	limited   bool
 	remaining int
+	scanner   headScanner
 }
 
-// begin starts to bound what is read.
-func (l *headLimiter) begin() { l.limited, l.remaining = true, maxHeadBytes+bufferBytes }
+// begin starts to bound and scan what is read. buffered has been read already.
+func (l *headLimiter) begin(buffered []byte) error {
+	l.limited, l.remaining = true, maxHeadBytes+bufferBytes
+	l.scanner = headScanner{}
+	return l.scanner.scan(buffered)
+}
 
 // end removes the bound.
 func (l *headLimiter) end() { l.limited = false }
@@ -36,5 +41,8 @@
 	}
 	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	if malformed := l.scanner.scan(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -11,6 +11,9 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/bronzemast/bronzemast/internal/responsehead"
+	"github.com/pkg/errors"
 )
 
 // bufferBytes is the size of a connection's read buffer and of its write buffer.
@@ -92,16 +95,26 @@
 }
 
 // readFinal returns the next final response; it discards interim (1xx) responses. method is
-// that of the request.
+// that of the request. A malformed response is an error, and so is a switch of protocols, which no
+// request asks for.
 func (c *conn) readFinal(method string) (*http.Response, error) {
-	c.headLimit.begin()
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // can't fail
 	defer c.headLimit.end()
+	if err := c.headLimit.begin(buffered); err != nil {
+		return nil, err
+	}
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		if err := responsehead.Check(response); err != nil {
+			return nil, err
+		}
+		switch {
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.Wrap(responsehead.ErrMalformed, "switch of protocols")
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		}
 	}
--- a/internal/httpget/httpget.go
+++ b/internal/httpget/httpget.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"github.com/bronzemast/bronzemast/internal/responsehead"
 )
 
 // DialFunc connects to an address.
@@ -67,6 +69,9 @@
 	}
 	timer.Reset(l.BodyTimeout)
 	defer func() { _ = response.Body.Close() }() // the body was read or has failed
+	if err := responsehead.Check(response); err != nil {
+		return nil, err
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, l.MaxBodyBytes+1))
 	if err != nil {
 		return nil, err
--- a/plugins/forwarding/peers.go
+++ b/plugins/forwarding/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/config"
+	"github.com/bronzemast/bronzemast/internal/responsehead"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
 )
@@ -37,9 +38,9 @@
 	id      model.HostID
 	address string
 	// calls carries attempts on pooled connections.
-	calls *http.Transport
+	calls *responsehead.Transport
 	// control sends each request on a new connection.
-	control      *http.Transport
+	control      *responsehead.Transport
 	responseTime responseTimeEstimator
 
 	mu              sync.Mutex
@@ -161,7 +162,7 @@
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxPeerHeaderBytes,
 	}
-	return &peer{id: id, address: address, calls: calls, control: control}
+	return &peer{id: id, address: address, calls: responsehead.NewTransport(calls), control: responsehead.NewTransport(control)}
 }
 
 // retain removes the peers that are missing or dead in the view.
--- a/plugins/forwarding/target.go
+++ b/plugins/forwarding/target.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/config"
+	"github.com/bronzemast/bronzemast/internal/responsehead"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
 )
@@ -105,7 +106,7 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	response, err = t.transportFor(in.service).RoundTrip(t.request(in).WithContext(traced))
+	response, err = responsehead.NewTransport(t.transportFor(in.service)).RoundTrip(t.request(in).WithContext(traced))
 	if err == nil && !answers(response, in) {
 		_ = response.Body.Close() // the unread body closes the connection
 		return nil, true, errCrossedAnswer
--- a/plugins/quarantine/peer.go
+++ b/plugins/quarantine/peer.go
@@ -10,6 +10,7 @@
 	"github.com/bronzemast/bronzemast/event"
 	"github.com/bronzemast/bronzemast/internal/httpget"
 	"github.com/bronzemast/bronzemast/internal/quarantine"
+	"github.com/bronzemast/bronzemast/internal/responsehead"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
@@ -43,7 +44,7 @@
 func newPeerClient(dial httpget.DialFunc) *peerClient {
 	transport := httpget.NewTransport(dial)
 	transport.IdleConnTimeout = peerIdleTimeout
-	return &peerClient{http: &http.Client{Transport: transport}}
+	return &peerClient{http: &http.Client{Transport: responsehead.NewTransport(transport)}}
 }
 
 func (c *peerClient) close() { c.http.CloseIdleConnections() }
--- a/plugins/source/client.go
+++ b/plugins/source/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bronzemast/bronzemast/internal/responsehead"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
 )
@@ -55,7 +56,7 @@
 		return dial(ctx, address)
 	}
 	transport.MaxIdleConnsPerHost = idleConnectionsPerReplica
-	c := &client{urls: urls, http: &http.Client{Transport: transport}}
+	c := &client{urls: urls, http: &http.Client{Transport: responsehead.NewTransport(transport)}}
 	c.cursor.Store(first)
 	return c
 }
