A target that has crashed is cold when it is back

Cause, from its log: the node knew of the crash (event 2209) and asked for the worker's health while nobody listened at its address. That check failed and was not repeated, since the worker was not known to be cold. No request met the closed address either, which is the other way to learn of a new start. So nothing limited the requests until the store's entry arrived a second later.

Change: a crash tells as well that the next worker will be cold: the rate is limited at once, and the health check is repeated until it is answered.

--- a/plugins/sidecar/crash.go
+++ b/plugins/sidecar/crash.go
@@ -24,6 +24,7 @@
 		if !overloaded {
 			s.quarantine.RecordCrash(suspects)
 		}
+		s.assumeCold(inst, h.Instance, warmupFromCrash) // the next one will be
 		s.log.Emit(eventTargetCrashed, event.Fields{"target": h.Instance, "fingerprints": quarantine.Texts(suspects), "overloaded_cold": overloaded})
 	})
 }
--- a/plugins/sidecar/instancewarmup.go
+++ b/plugins/sidecar/instancewarmup.go
@@ -12,6 +12,7 @@
 	warmupFromStart      = "start"
 	warmupFromReturn     = "evacuation-end"
 	warmupFromConnection = "connection"
+	warmupFromCrash      = "crash"
 	warmupFromHealth     = "health-check"
 )
 
--- a/plugins/sidecar/targetinstances.go
+++ b/plugins/sidecar/targetinstances.go
@@ -42,7 +42,7 @@
 	if inst == nil {
 		inst = newInstance(1, nil)
 		inst.pool = s.pool(inst.crashes)
-		inst.onReachable = func() { s.reachableAgain(inst, id) }
+		inst.onReachable = func() { s.assumeCold(inst, id, warmupFromConnection) }
 		s.instances[id] = inst
 	}
 	return inst
--- a/plugins/sidecar/targetwarmup.go
+++ b/plugins/sidecar/targetwarmup.go
@@ -35,10 +35,11 @@
 	}
 }
 
-// reachableAgain notes that a target accepts connections again: it may have started again.
-func (s *targetSide) reachableAgain(inst *instance, id model.TargetID) {
+// assumeCold notes that a target has started again, or may have, without an entry that says so.
+// source is what tells it.
+func (s *targetSide) assumeCold(inst *instance, id model.TargetID, source string) {
 	if inst.assumeCold(time.Now()) {
-		s.noteCold(inst, id, warmupFromConnection)
+		s.noteCold(inst, id, source)
 	}
 }
 
--- a/test/sidecar/evacuation_test.go
+++ b/test/sidecar/evacuation_test.go
@@ -201,3 +201,34 @@
 	g.Expect(maxPerSecond(again, restarted, restarted.Add(warmup))).To(BeNumerically("<=", coldBound))
 	g.Expect(again.Arrivals()).NotTo(BeEmpty(), "it is used again")
 }
+
+// Nothing is sent to the worker between its crash and its return, so that only the crash tells that
+// it has started again. Guards against a node that forgets it.
+func TestWorkerThatCrashesUnderARequestIsColdWhenItIsBack(t *testing.T) {
+	g := NewWithT(t)
+	f := startColdFleet(t)
+	time.Sleep(warmup)
+	h := f.hosts[0]
+	for _, other := range f.hosts[1:] {
+		other.Worker.SetSlots(0) // all requests go to the first one in the end
+	}
+	first := h.Worker
+	first.Drops = func(standin.Run) bool {
+		go func() { _ = h.StopWorker() }() // the listener is closed before the connection ends
+		time.Sleep(50 * time.Millisecond)
+		return true
+	}
+	g.Eventually(func() string {
+		h.send(noKeepAliveClient, http.MethodGet, "/a/fatal", "")
+		return h.Log()
+	}, eventualTimeout, pollInterval).Should(ContainSubstring("target crashed"))
+	again := &standin.Worker{ID: first.ID, Service: first.Service, Slots: first.Slots, ServiceTime: first.ServiceTime}
+	again.SetCold(warmup)
+	restarted := time.Now()
+	g.Expect(h.ServeUnlisted(again)).To(Succeed())
+	load := f.startCallers()
+	time.Sleep(warmup)
+	load.end()
+	g.Expect(maxPerSecond(again, restarted, restarted.Add(warmup))).To(BeNumerically("<=", coldBound))
+	g.Expect(again.Arrivals()).NotTo(BeEmpty(), "it is used again")
+}
