Connections that send without end between two requests do not use up the memory of others

Connections of net/http are charged for what arrives between two requests, as a part of a head. With HTTP/2 that is also frames such as pings, which never end. A connection is now charged for 8 MiB there at most, which is more than a head takes.

--- a/internal/connbudget/head.go
+++ b/internal/connbudget/head.go
@@ -16,6 +16,9 @@
 	// fieldBytes is the memory for each field of a head beyond its bytes: entries of maps and
 	// slices, and their copies.
 	fieldBytes = 200
+	// maxTrackedBytes bounds what a connection is charged for between two requests: more than a head
+	// within the usual limits takes. Some protocols send without end there, such as the pings of HTTP/2.
+	maxTrackedBytes = 8 << 20
 )
 
 // HeadBytes returns the memory that a part of the head of a request takes.
@@ -48,7 +51,10 @@
 func (h *headTracker) charge(part []byte) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.reading || h.reservation.Grow(HeadBytes(part))
+	if !h.reading || h.reservation.Bytes() >= maxTrackedBytes {
+		return true
+	}
+	return h.reservation.Grow(HeadBytes(part))
 }
 
 // begin waits for the head of the next request.
