--- a/internal/connbudget/reservation.go
+++ b/internal/connbudget/reservation.go
@@ -46,6 +46,20 @@
 	r.bytes += bytes
 }
 
+// Wait counts the connection as waiting for its other end, as Conn.Wait does, until Resume is called.
+func (r *Reservation) Wait() {
+	if r != nil {
+		r.conn.Wait()
+	}
+}
+
+// Resume ends what Wait began.
+func (r *Reservation) Resume() {
+	if r != nil {
+		r.conn.Resume()
+	}
+}
+
 // Bytes returns the number of bytes that are reserved.
 func (r *Reservation) Bytes() int64 {
 	if r == nil {
--- a/plugins/forwarding/call.go
+++ b/plugins/forwarding/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bronzemast/bronzemast/config"
+	"github.com/bronzemast/bronzemast/internal/connbudget"
 	"github.com/bronzemast/bronzemast/internal/quarantine"
 	"github.com/bronzemast/bronzemast/model"
 	"github.com/pkg/errors"
@@ -68,7 +69,13 @@
 	if c.request.ContentLength != 0 {
 		_ = control.SetReadDeadline(c.deadline) // fails on servers without deadlines, which have other limits
 	}
+	memory := connbudget.FromContext(c.request.Context())
+	if !memory.Grow(e.bufferedBytes(c.request)) {
+		return model.ReasonNoMemory
+	}
+	memory.Wait()
 	body, err := readBody(c.request.Body, c.request.ContentLength, e.settings.RetryBodyBytes, c.maxBodyBytes(e.settings.MaxBodyBytes))
+	memory.Resume()
 	switch {
 	case errors.Is(err, errTooLarge):
 		return model.ReasonTooLarge
@@ -88,6 +95,15 @@
 	return model.ReasonNone
 }
 
+// bufferedBytes returns how much of the body of a request is buffered at most.
+func (e *entry) bufferedBytes(r *http.Request) int64 {
+	bytes := int64(e.settings.RetryBodyBytes)
+	if r.ContentLength >= 0 {
+		bytes = min(bytes, r.ContentLength)
+	}
+	return bytes
+}
+
 // addAttempt records the result of an attempt that is followed by another one.
 func (c *call) addAttempt(result attemptResult) {
 	result.response, result.cancelAttempt = nil, nil
--- a/plugins/forwarding/status.go
+++ b/plugins/forwarding/status.go
@@ -35,6 +35,7 @@
 	model.ReasonQuarantined:     http.StatusServiceUnavailable,
 	model.ReasonPeerLost:        http.StatusBadGateway,
 	model.ReasonRetryBudget:     http.StatusServiceUnavailable,
+	model.ReasonNoMemory:        http.StatusServiceUnavailable,
 }
 
 // statusClientClosed is recorded for a call whose caller has disconnected; it is
