--- a/test/clients/body_test.go
+++ b/test/clients/body_test.go
@@ -35,12 +35,5 @@
 		"a trailer that stops":               {text: chunked(almostBuffered, 16<<10) + "0\r\nA: a"},
 		"a body that waits to be asked for":  {text: requestHead("POST", "/file/x", "Expect: 100-continue", "Transfer-Encoding: chunked", "")},
 	}
-	for name, clients := range cases {
-		t.Run(name, func(t *testing.T) {
-			f := startFleet(t, 0)
-			clients.address, clients.size = f.Hosts[0].Host.CallAddress, crowdSize
-			clients.gather(t)
-			f.expectServing()
-		})
-	}
+	runCrowds(t, cases)
 }
--- a/test/clients/crowd_test.go
+++ b/test/clients/crowd_test.go
@@ -38,6 +38,18 @@
 	more string
 }
 
+// runCrowds gathers each crowd, of crowdSize clients, at the address for callers of a fleet of its own.
+func runCrowds(t *testing.T, crowds map[string]crowd) {
+	for name, c := range crowds {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, 0)
+			c.address, c.size = f.Hosts[0].Host.CallAddress, crowdSize
+			c.gather(t)
+			f.expectServing()
+		})
+	}
+}
+
 // gather connects all clients and returns once each has sent what it could. The connections stay
 // open until the test ends.
 func (c crowd) gather(t *testing.T) {
--- a/test/clients/head_test.go
+++ b/test/clients/head_test.go
@@ -23,14 +23,7 @@
 		"one field just below the limit":    {text: requestHead("GET", "/look/x") + "A: " + strings.Repeat("a", almostHead)},
 		"short fields just below the limit": {text: requestHead("GET", "/look/x") + shortFields(almostHead)},
 	}
-	for name, clients := range cases {
-		t.Run(name, func(t *testing.T) {
-			f := startFleet(t, 0)
-			clients.address, clients.size = f.Hosts[0].Host.CallAddress, crowdSize
-			clients.gather(t)
-			f.expectServing()
-		})
-	}
+	runCrowds(t, cases)
 }
 
 // Guards against clients that send requests ahead of their answers.
